Set down the design, the folders, the core types and the HTTP layer

Cause: the repository was empty, and parallel work needs agreed interfaces. A POST to a target that closes after reading runs 3 times in 2 calls with libcurl's default, 2 times in 2 calls with the refusing seek callback (tests/HttpClientTest.cpp).

--- /dev/null
+++ b/src/core/Log.cpp
@@ -0,0 +1,117 @@
+#include "core/Log.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <array>
+#include <memory>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr std::array<std::pair<const char*, LogLevel>, 4> kLevels{ {
+  { "debug", LogLevel::kDebug },
+  { "info", LogLevel::kInfo },
+  { "warning", LogLevel::kWarning },
+  { "error", LogLevel::kError },
+} };
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+log4cplus::Logger& RootLogger()
+{
+  static log4cplus::Logger logger = log4cplus::Logger::getRoot();
+  return logger;
+}
+
+bool NeedsQuotes(const std::string& aValue)
+{
+  return aValue.empty() ||
+         aValue.find_first_of(" \"=\n\r\t\\") != std::string::npos;
+}
+
+void AppendValue(std::string& aLine, const std::string& aValue)
+{
+  if (!NeedsQuotes(aValue)) {
+    aLine += aValue;
+    return;
+  }
+  aLine += '"';
+  for (const char c : aValue) {
+    if (c == '"' || c == '\\') {
+      aLine += '\\';
+      aLine += c;
+    } else if (c == '\n') {
+      aLine += "\\n";
+    } else {
+      aLine += c;
+    }
+  }
+  aLine += '"';
+}
+
+} // namespace
+
+Outcome<LogLevel> ParseLogLevel(const std::string& aLevel)
+{
+  for (const auto& [name, level] : kLevels) {
+    if (aLevel == name) {
+      return level;
+    }
+  }
+  return Fail(ErrorKind::kInvalidArgument,
+              "\"" + aLevel + "\" is not a log level",
+              "write debug, info, warning or error");
+}
+
+void StartLogging(LogLevel aLevel)
+{
+  static log4cplus::Initializer initializer;
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+    LOG4CPLUS_TEXT("%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
+  RootLogger().removeAllAppenders();
+  RootLogger().addAppender(appender);
+  RootLogger().setLogLevel(ToLibraryLevel(aLevel));
+}
+
+void Log(LogLevel aLevel,
+         const std::string& aEvent,
+         std::initializer_list<LogField> aFields)
+{
+  const log4cplus::LogLevel level = ToLibraryLevel(aLevel);
+  if (!RootLogger().isEnabledFor(level)) {
+    return;
+  }
+  std::string line = "event=";
+  AppendValue(line, aEvent);
+  for (const LogField& field : aFields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    AppendValue(line, field.value);
+  }
+  RootLogger().forcedLog(level, line);
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/core/Log.h
@@ -0,0 +1,35 @@
+#ifndef CORE_LOG_H
+#define CORE_LOG_H
+
+#include "core/LogField.h"
+#include "lacewing/Outcome.h"
+
+#include <initializer_list>
+#include <string>
+
+namespace lacewing {
+
+/** Severity of a log line. */
+enum class LogLevel
+{
+  kDebug,
+  kInfo,
+  kWarning,
+  kError,
+};
+
+/**
+ * Sends structured lines "time level=... event=... key=value ..." to standard
+ * error. aLevel is one of "debug", "info", "warning" and "error".
+ */
+Outcome<LogLevel> ParseLogLevel(const std::string& aLevel);
+void StartLogging(LogLevel aLevel);
+
+/** Writes one line; values with spaces or quotes are quoted. */
+void Log(LogLevel aLevel,
+         const std::string& aEvent,
+         std::initializer_list<LogField> aFields = {});
+
+} // namespace lacewing
+
+#endif // CORE_LOG_H
--- /dev/null
+++ b/src/net/CurlEasy.cpp
@@ -0,0 +1,224 @@
+#include "net/CurlEasyPriv.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+
+namespace lacewing {
+
+CurlEasy::CurlEasy()
+  : handle_(curl_easy_init())
+{
+}
+
+CurlEasy::~CurlEasy()
+{
+  curl_slist_free_all(fields_);
+  curl_easy_cleanup(handle_);
+}
+
+void CurlEasy::Prepare(HttpCall aCall, const HttpClientOptions& aOptions)
+{
+  curl_easy_reset(handle_);
+  call_ = std::move(aCall);
+  response_ = HttpResponse();
+  response_.status = 0;
+  bodyOffset_ = 0;
+  tooLarge_ = false;
+
+  const std::string url = "http://" + call_.endpoint.ToString() + call_.target;
+  curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle_, CURLOPT_HTTP09_ALLOWED, 0L);
+  curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle_,
+                   CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(aOptions.maxIdleAge.count()));
+  curl_easy_setopt(
+    handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(call_.timeout.count()));
+  curl_easy_setopt(handle_,
+                   CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(call_.connectTimeout.count()));
+  curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &CurlEasy::WriteBody);
+  curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &CurlEasy::WriteField);
+  curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+  SetMethodAndBody();
+  SetFields();
+}
+
+void CurlEasy::SetMethodAndBody()
+{
+  const bool hasBody = call_.body && !call_.body->empty();
+  if (hasBody) {
+    curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle_,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call_.body->size()));
+    curl_easy_setopt(handle_, CURLOPT_READFUNCTION, &CurlEasy::ReadBody);
+    curl_easy_setopt(handle_, CURLOPT_READDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_SEEKFUNCTION, &CurlEasy::SeekBody);
+    curl_easy_setopt(handle_, CURLOPT_SEEKDATA, this);
+  } else if (call_.body) {
+    curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, "");
+    curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE, 0L);
+  } else if (call_.method == "HEAD") {
+    curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
+  }
+  if (!call_.idempotent && !hasBody) {
+    // Without a body there is nothing to rewind, so only a new connection
+    // keeps libcurl from sending the request twice.
+    curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+  }
+  curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
+}
+
+void CurlEasy::SetFields()
+{
+  curl_slist_free_all(fields_);
+  // An empty value removes a field that libcurl would add by itself.
+  fields_ = curl_slist_append(nullptr, "Expect:");
+  fields_ = curl_slist_append(fields_, "Accept:");
+  if (call_.fields.Find("Content-Type") == nullptr) {
+    fields_ = curl_slist_append(fields_, "Content-Type:");
+  }
+  for (const HttpField& field : call_.fields) {
+    // libcurl writes a field without a value only when it ends in ";".
+    const std::string line =
+      field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
+    fields_ = curl_slist_append(fields_, line.c_str());
+  }
+  curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, fields_);
+}
+
+HttpCallResult CurlEasy::TakeResult(CURLcode aCode)
+{
+  HttpCallResult result;
+  result.end = Classify(aCode);
+  if (result.end != HttpCallEnd::kAnswered) {
+    result.error = aCode == CURLE_OK ? "the answer has no stated length"
+                                     : curl_easy_strerror(aCode);
+  }
+  result.response = std::move(response_);
+  call_ = HttpCall();
+  return result;
+}
+
+HttpCallEnd CurlEasy::Classify(CURLcode aCode) const
+{
+  if (tooLarge_) {
+    return HttpCallEnd::kTooLarge;
+  }
+  if (aCode == CURLE_OK) {
+    return BodyIsDelimited() ? HttpCallEnd::kAnswered : HttpCallEnd::kLost;
+  }
+  long sent = 0;
+  curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &sent);
+  if (sent == 0) {
+    return HttpCallEnd::kNotSent;
+  }
+  return aCode == CURLE_OPERATION_TIMEDOUT ? HttpCallEnd::kTimedOut
+                                           : HttpCallEnd::kLost;
+}
+
+// A body that ends with the connection may have been cut short unnoticed.
+bool CurlEasy::BodyIsDelimited() const
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return call_.method == "HEAD" || response_.status == kNoContent ||
+         response_.status == kNotModified ||
+         response_.fields.Find("Content-Length") != nullptr ||
+         response_.fields.Find("Transfer-Encoding") != nullptr;
+}
+
+std::size_t CurlEasy::ReadBody(char* aBuffer,
+                               std::size_t aSize,
+                               std::size_t aCount,
+                               void* aSelf)
+{
+  auto& self = *static_cast<CurlEasy*>(aSelf);
+  const std::string& body = *self.call_.body;
+  const std::size_t length =
+    std::min(aSize * aCount, body.size() - self.bodyOffset_);
+  std::memcpy(aBuffer, body.data() + self.bodyOffset_, length);
+  self.bodyOffset_ += length;
+  return length;
+}
+
+int CurlEasy::SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin)
+{
+  auto& self = *static_cast<CurlEasy*>(aSelf);
+  // libcurl rewinds to send the request a second time on a new connection.
+  if (!self.call_.idempotent || aOrigin != SEEK_SET) {
+    return CURL_SEEKFUNC_FAIL;
+  }
+  self.bodyOffset_ = static_cast<std::size_t>(aOffset);
+  return CURL_SEEKFUNC_OK;
+}
+
+std::size_t CurlEasy::WriteBody(char* aData,
+                                std::size_t aSize,
+                                std::size_t aCount,
+                                void* aSelf)
+{
+  auto& self = *static_cast<CurlEasy*>(aSelf);
+  const std::size_t length = aSize * aCount;
+  if (self.response_.body.size() + length >
+      self.call_.maxResponseBody.value()) {
+    self.tooLarge_ = true;
+    return 0;
+  }
+  self.response_.body.append(aData, length);
+  return length;
+}
+
+std::size_t CurlEasy::WriteField(char* aData,
+                                 std::size_t aSize,
+                                 std::size_t aCount,
+                                 void* aSelf)
+{
+  auto& self = *static_cast<CurlEasy*>(aSelf);
+  const std::size_t length = aSize * aCount;
+  std::string_view line(aData, length);
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+    line.remove_suffix(1);
+  }
+  self.AddResponseField(line);
+  return length;
+}
+
+void CurlEasy::AddResponseField(std::string_view aLine)
+{
+  constexpr std::string_view kStatusLine = "HTTP/";
+  if (aLine.substr(0, kStatusLine.size()) == kStatusLine) {
+    // A new status line follows an interim answer, whose fields do not count.
+    response_ = HttpResponse();
+    const std::size_t space = aLine.find(' ');
+    response_.status =
+      space == std::string_view::npos
+        ? 0
+        : std::atoi(std::string(aLine.substr(space + 1)).c_str());
+    return;
+  }
+  const std::size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  std::string_view value = aLine.substr(colon + 1);
+  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+    value.remove_prefix(1);
+  }
+  while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
+    value.remove_suffix(1);
+  }
+  response_.fields.Add(std::string(aLine.substr(0, colon)), std::string(value));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/net/CurlEasyPriv.h
@@ -0,0 +1,60 @@
+#ifndef NET_CURLEASYPRIV_H
+#define NET_CURLEASYPRIV_H
+
+#include "net/HttpCall.h"
+#include "net/HttpCallResult.h"
+#include "net/HttpClientOptions.h"
+
+#include <curl/curl.h>
+
+#include <string>
+
+namespace lacewing {
+
+/** One libcurl easy handle, reused from call to call. */
+class CurlEasy
+{
+public:
+  CurlEasy();
+  ~CurlEasy();
+  CurlEasy(const CurlEasy&) = delete;
+  CurlEasy& operator=(const CurlEasy&) = delete;
+
+  void Prepare(HttpCall aCall, const HttpClientOptions& aOptions);
+
+  HttpCallResult TakeResult(CURLcode aCode);
+
+  CURL* Handle() const { return handle_; }
+
+private:
+  void SetMethodAndBody();
+  void SetFields();
+  HttpCallEnd Classify(CURLcode aCode) const;
+  bool BodyIsDelimited() const;
+  void AddResponseField(std::string_view aLine);
+
+  static std::size_t ReadBody(char* aBuffer,
+                              std::size_t aSize,
+                              std::size_t aCount,
+                              void* aSelf);
+  static int SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin);
+  static std::size_t WriteBody(char* aData,
+                               std::size_t aSize,
+                               std::size_t aCount,
+                               void* aSelf);
+  static std::size_t WriteField(char* aData,
+                                std::size_t aSize,
+                                std::size_t aCount,
+                                void* aSelf);
+
+  CURL* handle_;
+  curl_slist* fields_ = nullptr;
+  HttpCall call_;
+  HttpResponse response_;
+  std::size_t bodyOffset_ = 0;
+  bool tooLarge_ = false;
+};
+
+} // namespace lacewing
+
+#endif // NET_CURLEASYPRIV_H
--- /dev/null
+++ b/src/net/CurlMulti.cpp
@@ -0,0 +1,180 @@
+#include "net/CurlMultiPriv.h"
+
+#include <chrono>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+void InitializeLibrary()
+{
+  static const CURLcode done = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)done;
+}
+
+} // namespace
+
+/** One watched socket; wanted holds the CURL_POLL_... bits now in force. */
+struct CurlMulti::Watch
+{
+  Watch(asio::io_context& aContext, curl_socket_t aSocket)
+    : descriptor(aContext, aSocket)
+    , socket(aSocket)
+  {
+  }
+
+  asio::posix::stream_descriptor descriptor;
+  curl_socket_t socket;
+  int wanted = 0;
+  int waiting = 0;
+  bool dropped = false;
+};
+
+CurlMulti::CurlMulti(asio::io_context& aContext,
+                     long aMaxIdleConnections,
+                     DoneHandler aDone)
+  : context_(aContext)
+  , timer_(aContext)
+  , done_(std::move(aDone))
+  , alive_(std::make_shared<Alive>(Alive{ this }))
+{
+  InitializeLibrary();
+  multi_ = curl_multi_init();
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &CurlMulti::OnSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &CurlMulti::OnTimeout);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, aMaxIdleConnections);
+  curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+CurlMulti::~CurlMulti()
+{
+  alive_->self = nullptr;
+  curl_multi_cleanup(multi_);
+  for (auto& [socket, watch] : watches_) {
+    watch->dropped = true;
+    watch->descriptor.release();
+  }
+}
+
+void CurlMulti::Add(CURL* aEasy)
+{
+  curl_multi_add_handle(multi_, aEasy);
+}
+
+void CurlMulti::Remove(CURL* aEasy)
+{
+  curl_multi_remove_handle(multi_, aEasy);
+}
+
+int CurlMulti::OnSocket(CURL* /* aEasy */,
+                        curl_socket_t aSocket,
+                        int aAction,
+                        void* aSelf,
+                        void* /* aSocketData */)
+{
+  auto& self = *static_cast<CurlMulti*>(aSelf);
+  if (aAction == CURL_POLL_REMOVE) {
+    self.DropWatch(aSocket);
+  } else {
+    self.SetWatch(aSocket, aAction);
+  }
+  return 0;
+}
+
+int CurlMulti::OnTimeout(CURLM* /* aMulti */, long aMilliseconds, void* aSelf)
+{
+  static_cast<CurlMulti*>(aSelf)->SetTimer(aMilliseconds);
+  return 0;
+}
+
+void CurlMulti::SetWatch(curl_socket_t aSocket, int aAction)
+{
+  std::shared_ptr<Watch>& watch = watches_[aSocket];
+  if (!watch) {
+    watch = std::make_shared<Watch>(context_, aSocket);
+  }
+  watch->wanted = aAction;
+  WaitFor(watch, CURL_POLL_IN);
+  WaitFor(watch, CURL_POLL_OUT);
+}
+
+void CurlMulti::DropWatch(curl_socket_t aSocket)
+{
+  const auto entry = watches_.find(aSocket);
+  if (entry == watches_.end()) {
+    return;
+  }
+  // The socket belongs to libcurl, which closes or keeps it.
+  entry->second->dropped = true;
+  entry->second->descriptor.release();
+  watches_.erase(entry);
+}
+
+void CurlMulti::WaitFor(const std::shared_ptr<Watch>& aWatch, int aEvent)
+{
+  if ((aWatch->wanted & aEvent) == 0 || (aWatch->waiting & aEvent) != 0) {
+    return;
+  }
+  aWatch->waiting |= aEvent;
+  const auto type = aEvent == CURL_POLL_IN
+                      ? asio::posix::descriptor_base::wait_read
+                      : asio::posix::descriptor_base::wait_write;
+  aWatch->descriptor.async_wait(
+    type,
+    [alive = alive_, watch = aWatch, aEvent](const asio::error_code& aError) {
+      watch->waiting &= ~aEvent;
+      if (alive->self == nullptr || watch->dropped) {
+        return;
+      }
+      if ((watch->wanted & aEvent) == 0) {
+        return;
+      }
+      const int ready =
+        aEvent == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
+      alive->self->Act(watch->socket, aError ? CURL_CSELECT_ERR : ready);
+      if (alive->self != nullptr && !watch->dropped) {
+        alive->self->WaitFor(watch, aEvent);
+      }
+    });
+}
+
+void CurlMulti::SetTimer(long aMilliseconds)
+{
+  if (aMilliseconds < 0) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_after(std::chrono::milliseconds(aMilliseconds));
+  timer_.async_wait([alive = alive_](const asio::error_code& aError) {
+    if (!aError && alive->self != nullptr) {
+      alive->self->Act(CURL_SOCKET_TIMEOUT, 0);
+    }
+  });
+}
+
+void CurlMulti::Act(curl_socket_t aSocket, int aEvents)
+{
+  int running = 0;
+  curl_multi_socket_action(multi_, aSocket, aEvents, &running);
+  CollectDone();
+}
+
+void CurlMulti::CollectDone()
+{
+  const std::shared_ptr<Alive> alive = alive_;
+  int left = 0;
+  while (alive->self != nullptr) {
+    const CURLMsg* message = curl_multi_info_read(multi_, &left);
+    if (message == nullptr) {
+      return;
+    }
+    if (message->msg == CURLMSG_DONE) {
+      done_(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/net/HttpCall.h
@@ -0,0 +1,34 @@
+#ifndef NET_HTTPCALL_H
+#define NET_HTTPCALL_H
+
+#include "lacewing/ByteCount.h"
+#include "lacewing/Endpoint.h"
+#include "net/HttpFields.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace lacewing {
+
+/** A request for an HttpClient to send. */
+struct HttpCall
+{
+  Endpoint endpoint;
+  std::string method = "GET";
+  /** Path and query. */
+  std::string target = "/";
+  HttpFields fields;
+  /** Null stands for no body. */
+  std::shared_ptr<const std::string> body;
+  /** Time for the whole call. */
+  std::chrono::milliseconds timeout{ 30000 };
+  std::chrono::milliseconds connectTimeout{ 1000 };
+  ByteCount maxResponseBody{ 16U << 20U };
+  /** When false the request is put on the wire at most once. */
+  bool idempotent = false;
+};
+
+} // namespace lacewing
+
+#endif // NET_HTTPCALL_H
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,310 @@
+#include "net/HttpServer.h"
+
+#include <restinio/all.hpp>
+
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lacewing {
+
+namespace {
+
+class Responder;
+
+/** Finds the unanswered requests of a connection when it closes. */
+class ConnectionListener
+{
+public:
+  void Register(restinio::connection_id_t aConnection,
+                const std::shared_ptr<Responder>& aResponder)
+  {
+    pending_.emplace(aConnection, aResponder);
+  }
+
+  void Unregister(restinio::connection_id_t aConnection,
+                  const Responder* aResponder);
+
+  // The name is fixed by RESTinio.
+  void state_changed(
+    const restinio::connection_state::notice_t& aNotice) noexcept;
+
+private:
+  std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Responder>>
+    pending_;
+};
+
+struct Traits : public restinio::default_single_thread_traits_t
+{
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+    restinio::request_handle_t)>;
+  using connection_state_listener_t = ConnectionListener;
+  // The name is fixed by RESTinio.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+using Connection = restinio::impl::connection_t<Traits>;
+
+class Responder final : public HttpResponder
+{
+public:
+  Responder(restinio::request_handle_t aRequest,
+            std::shared_ptr<ConnectionListener> aListener)
+    : request_(std::move(aRequest))
+    , listener_(std::move(aListener))
+  {
+  }
+
+  ~Responder() override
+  {
+    if (request_) {
+      HttpResponse response;
+      response.status = 500;
+      Respond(std::move(response));
+    }
+  }
+
+  void Send(HttpResponse aResponse) override
+  {
+    if (request_) {
+      Respond(std::move(aResponse));
+    }
+  }
+
+  void Drop() override
+  {
+    if (!request_) {
+      return;
+    }
+    const restinio::request_handle_t request = Take();
+    auto& connection = static_cast<Connection&>(
+      *restinio::impl::access_req_connection(*request));
+    auto internals = connection.move_upgrade_internals();
+    asio::error_code ignored;
+    internals.m_socket.close(ignored);
+  }
+
+  void OnGone(std::function<void()> aHandler) override
+  {
+    gone_ = std::move(aHandler);
+  }
+
+  void ConnectionClosed()
+  {
+    request_.reset();
+    if (gone_) {
+      const std::function<void()> handler = std::move(gone_);
+      gone_ = nullptr;
+      handler();
+    }
+  }
+
+private:
+  restinio::request_handle_t Take()
+  {
+    listener_->Unregister(request_->connection_id(), this);
+    gone_ = nullptr;
+    return std::exchange(request_, nullptr);
+  }
+
+  void Respond(HttpResponse aResponse)
+  {
+    const restinio::request_handle_t request = Take();
+    if (request->header().method() == restinio::http_method_head()) {
+      RespondToHead(*request, std::move(aResponse));
+      return;
+    }
+    auto response = request->create_response(StatusLine(aResponse.status));
+    Finish(*request, std::move(aResponse), response);
+  }
+
+  // The length of the body that a GET would bring has to stay visible.
+  static void RespondToHead(restinio::request_t& aRequest,
+                            HttpResponse aResponse)
+  {
+    auto response =
+      aRequest.create_response<restinio::user_controlled_output_t>(
+        StatusLine(aResponse.status));
+    std::size_t length = aResponse.body.size();
+    if (const std::string* given = aResponse.fields.Find("Content-Length")) {
+      length = std::strtoull(given->c_str(), nullptr, 10);
+    }
+    response.set_content_length(length);
+    aResponse.body.clear();
+    Finish(aRequest, std::move(aResponse), response);
+  }
+
+  static restinio::http_status_line_t StatusLine(int aStatus)
+  {
+    return restinio::http_status_line_t(
+      restinio::http_status_code_t(static_cast<std::uint16_t>(aStatus)), "-");
+  }
+
+  template<class Builder>
+  static void Finish(restinio::request_t& aRequest,
+                     HttpResponse aResponse,
+                     Builder& aBuilder)
+  {
+    for (const HttpField& field : aResponse.fields) {
+      if (!SameFieldName(field.name, "Content-Length")) {
+        aBuilder.append_header(field.name, field.value);
+      }
+    }
+    if (aRequest.header().should_keep_alive()) {
+      aBuilder.connection_keep_alive();
+    } else {
+      aBuilder.connection_close();
+    }
+    if (!aResponse.body.empty()) {
+      aBuilder.set_body(std::move(aResponse.body));
+    }
+    aBuilder.done();
+  }
+
+  restinio::request_handle_t request_;
+  std::shared_ptr<ConnectionListener> listener_;
+  std::function<void()> gone_;
+};
+
+void ConnectionListener::Unregister(restinio::connection_id_t aConnection,
+                                    const Responder* aResponder)
+{
+  const auto [first, last] = pending_.equal_range(aConnection);
+  for (auto entry = first; entry != last; ++entry) {
+    const std::shared_ptr<Responder> responder = entry->second.lock();
+    // The entry of a responder that is being destroyed has expired.
+    if (!responder || responder.get() == aResponder) {
+      pending_.erase(entry);
+      return;
+    }
+  }
+}
+
+void ConnectionListener::state_changed(
+  const restinio::connection_state::notice_t& aNotice) noexcept
+{
+  if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
+        aNotice.cause())) {
+    return;
+  }
+  std::vector<std::shared_ptr<Responder>> gone;
+  const auto [first, last] = pending_.equal_range(aNotice.connection_id());
+  for (auto entry = first; entry != last; ++entry) {
+    if (std::shared_ptr<Responder> responder = entry->second.lock()) {
+      gone.push_back(std::move(responder));
+    }
+  }
+  pending_.erase(first, last);
+  for (const std::shared_ptr<Responder>& responder : gone) {
+    responder->ConnectionClosed();
+  }
+}
+
+HttpRequest ToRequest(const restinio::request_t& aRequest)
+{
+  HttpRequest request;
+  request.method = aRequest.header().method().c_str();
+  request.target = aRequest.header().request_target();
+  aRequest.header().for_each_field([&request](const auto& aField) {
+    request.fields.Add(aField.name(), aField.value());
+  });
+  request.body = aRequest.body();
+  return request;
+}
+
+} // namespace
+
+struct HttpServer::Impl
+{
+  using Settings = restinio::server_settings_t<Traits>;
+
+  Impl(asio::io_context& aContext, Settings aSettings)
+    : server(restinio::external_io_context(aContext), std::move(aSettings))
+  {
+  }
+
+  restinio::http_server_t<Traits> server;
+};
+
+namespace {
+
+restinio::incoming_http_msg_limits_t MessageLimits(
+  const HttpServerOptions& aOptions)
+{
+  return restinio::incoming_http_msg_limits_t()
+    .max_url_size(aOptions.maxTarget.value())
+    .max_field_name_size(aOptions.maxFieldName.value())
+    .max_field_value_size(aOptions.maxFieldValue.value())
+    .max_field_count(aOptions.maxFields)
+    .max_body_size(aOptions.maxBody.value());
+}
+
+constexpr std::size_t kReadBuffer = 16U << 10U;
+// A second request is read while the first runs, so that the close of a
+// caller's connection is noticed.
+constexpr std::size_t kPipelinedRequests = 2;
+
+} // namespace
+
+Outcome<std::unique_ptr<HttpServer>> HttpServer::Make(
+  asio::io_context& aContext,
+  const HttpServerOptions& aOptions,
+  HttpHandler aHandler)
+{
+  auto listener = std::make_shared<ConnectionListener>();
+  Impl::Settings settings;
+  settings.address(aOptions.endpoint.address)
+    .port(aOptions.endpoint.port)
+    .protocol(restinio::asio_ns::ip::tcp::v4())
+    .buffer_size(kReadBuffer)
+    .max_pipelined_requests(kPipelinedRequests)
+    .read_next_http_message_timelimit(aOptions.readTimeout)
+    .write_http_response_timelimit(aOptions.writeTimeout)
+    .handle_request_timeout(aOptions.handleTimeout)
+    .incoming_http_msg_limits(MessageLimits(aOptions))
+    .max_parallel_connections(aOptions.maxConnections)
+    .connection_state_listener(listener)
+    .acceptor_options_setter([reuse = aOptions.reusePort](auto& aAcceptor) {
+      aAcceptor.set_option(asio::socket_base::reuse_address(true));
+      if (reuse) {
+        using ReusePort =
+          asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+        aAcceptor.set_option(ReusePort(true));
+      }
+    })
+    .socket_options_setter(
+      [](auto& aSocket) { aSocket.set_option(asio::ip::tcp::no_delay(true)); })
+    .request_handler([listener, handler = std::move(aHandler)](
+                       const restinio::request_handle_t& aRequest) {
+      auto responder = std::make_shared<Responder>(aRequest, listener);
+      listener->Register(aRequest->connection_id(), responder);
+      handler(ToRequest(*aRequest), std::move(responder));
+      return restinio::request_accepted();
+    });
+  try {
+    auto impl = std::make_unique<Impl>(aContext, std::move(settings));
+    impl->server.open_sync();
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
+  } catch (const std::exception& error) {
+    return Fail(ErrorKind::kUnavailable,
+                "cannot listen on " + aOptions.endpoint.ToString() + ": " +
+                  error.what(),
+                "choose an address of this host and a free port");
+  }
+}
+
+HttpServer::HttpServer(std::unique_ptr<Impl> aImpl)
+  : impl_(std::move(aImpl))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::Close()
+{
+  impl_->server.close_sync();
+}
+
+} // namespace lacewing
