--- a/src/net/MessageServer.h
+++ b/src/net/MessageServer.h
@@ -4,10 +4,12 @@
 #include "lacewing/Endpoint.h"
 #include "lacewing/Outcome.h"
 #include "net/ConnectionId.h"
+#include "net/MessageLimits.h"
 
 #include <asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -36,16 +38,22 @@
   MessageServer(const MessageServer&) = delete;
   MessageServer& operator=(const MessageServer&) = delete;
 
-  /** Does nothing when the connection has gone. */
+  /** The port listened on, chosen by the kernel when the endpoint's is 0. */
+  std::uint16_t Port() const;
+
+  /**
+   * Does nothing when the connection has gone. Closes the connection of a
+   * reader that leaves more than kMaxSendQueueBytes unread.
+   */
   void Send(ConnectionId aConnection, const nlohmann::json& aMessage);
 
   void Disconnect(ConnectionId aConnection);
 
 private:
   struct Impl;
-  explicit MessageServer(std::unique_ptr<Impl> aImpl);
+  explicit MessageServer(std::shared_ptr<Impl> aImpl);
 
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 } // namespace lacewing
