Rename the frame codec of src/net

Cause: src/wire has EncodeMessage and DecodeMessage for typed messages.

Change: the untyped codec is EncodeFrame and DecodeFrame in FrameCodec.

--- a/src/net/MessageCodec.cpp
+++ b/src/net/FrameCodec.cpp
@@ -1,4 +1,4 @@
-#include "net/MessageCodec.h"
+#include "net/FrameCodec.h"
 
 #include "net/MessageLimits.h"
 
@@ -65,14 +65,14 @@
 
 } // namespace
 
-std::string EncodeMessage(const json& aMessage)
+std::string EncodeFrame(const json& aMessage)
 {
   std::string frame;
   json::to_cbor(aMessage, frame);
   return frame;
 }
 
-Outcome<json> DecodeMessage(std::string_view aFrame)
+Outcome<json> DecodeFrame(std::string_view aFrame)
 {
   if (aFrame.size() > kMaxMessageBytes) {
     return Fail(ErrorKind::kTooLarge,
--- a/src/net/MessageCodec.h
+++ b/src/net/FrameCodec.h
@@ -1,5 +1,5 @@
-#ifndef NET_MESSAGECODEC_H
-#define NET_MESSAGECODEC_H
+#ifndef NET_FRAMECODEC_H
+#define NET_FRAMECODEC_H
 
 #include "lacewing/Outcome.h"
 
@@ -11,14 +11,14 @@
 namespace lacewing {
 
 /** Encodes a message as a CBOR map. */
-std::string EncodeMessage(const nlohmann::json& aMessage);
+std::string EncodeFrame(const nlohmann::json& aMessage);
 
 /**
  * Decodes an untrusted frame. Fails with kTooLarge beyond the limits of
  * MessageLimits.h and with kInvalidMessage when it is not one CBOR map.
  */
-Outcome<nlohmann::json> DecodeMessage(std::string_view aFrame);
+Outcome<nlohmann::json> DecodeFrame(std::string_view aFrame);
 
 } // namespace lacewing
 
-#endif // NET_MESSAGECODEC_H
+#endif // NET_FRAMECODEC_H
--- a/src/net/MessageClient.cpp
+++ b/src/net/MessageClient.cpp
@@ -1,6 +1,6 @@
 #include "net/MessageClient.h"
 
-#include "net/MessageCodec.h"
+#include "net/FrameCodec.h"
 #include "net/WebSocketConfigPriv.h"
 
 #include <asio/post.hpp>
@@ -112,7 +112,7 @@
     if (!open) {
       return;
     }
-    auto message = DecodeMessage(aFrame);
+    auto message = DecodeFrame(aFrame);
     if (aOpcode != websocketpp::frame::opcode::binary || !message) {
       if (handlers.malformed) {
         handlers.malformed();
@@ -131,7 +131,7 @@
     if (!open || !connection) {
       return false;
     }
-    const std::string frame = EncodeMessage(aMessage);
+    const std::string frame = EncodeFrame(aMessage);
     if (frame.size() > kMaxMessageBytes) {
       return false;
     }
--- a/src/net/MessageServer.cpp
+++ b/src/net/MessageServer.cpp
@@ -1,6 +1,6 @@
 #include "net/MessageServer.h"
 
-#include "net/MessageCodec.h"
+#include "net/FrameCodec.h"
 #include "net/WebSocketConfigPriv.h"
 
 #include <asio/post.hpp>
@@ -126,7 +126,7 @@
                "send binary frames" });
       return;
     }
-    auto message = DecodeMessage(aMessage->get_payload());
+    auto message = DecodeFrame(aMessage->get_payload());
     if (!message) {
       Refuse(id, message.error());
       return;
@@ -147,7 +147,7 @@
       return;
     }
     const auto connection = Find(entry->second);
-    const std::string frame = EncodeMessage(aMessage);
+    const std::string frame = EncodeFrame(aMessage);
     if (frame.size() > kMaxMessageBytes ||
         connection->get_buffered_amount() + frame.size() > kMaxSendQueueBytes) {
       Disconnect(aConnection);
