--- a/src/decision/LeaseKeeper.h
+++ b/src/decision/LeaseKeeper.h
@@ -60,7 +60,7 @@
   /** Epoch of the lease held or last held; changes with each take-over. */
   Epoch HeldEpoch() const { return held_.epoch; }
   /** Whether OnStopping has done its work. */
-  bool Released() const { return stopping_ && !call_ && !Holds(); }
+  bool Released() const { return stopping_ && !owned_ && !call_; }
 
 private:
   enum class Call
@@ -69,15 +69,17 @@
     kWrite,
   };
 
+  /** Whether there is nothing to do until OnRank or OnStopping. */
+  bool Idle() const;
   LeaseAction Next();
   LeaseAction Read();
   LeaseAction Write(const LeaseRecord& aRecord);
-  LeaseAction Repeat();
   void Pause(Duration aTime);
+  /** The pending write is in force. */
   void Accept(const ObjectTag& aTag);
-  void Lose();
-  bool MayTakeOver(TimePoint aNow) const;
+  /** When a candidate may take the lease; needs seen_ and rank_. */
   TimePoint TakeOverTime() const;
+  static ObjectTag TagOf(const LeaseWrite& aWrite);
 
   const Clock& clock_;
   LeaseTerms terms_;
@@ -89,7 +91,8 @@
   std::optional<Call> call_;
   TimePoint timer_;
 
-  /** Last state of the object that was read or written. */
+  TimePoint lastRead_;
+  /** Whether the object was read or written; then its last state. */
   bool seen_ = false;
   std::optional<LeaseRecord> record_;
   ObjectTag tag_;
@@ -98,10 +101,14 @@
 
   /** The write in progress or of unknown effect. */
   std::optional<LeaseWrite> pending_;
+  /** A sending of the pending write may have taken effect. */
+  bool unsettled_ = false;
   /** Start of the pending write's first sending. */
   TimePoint pendingSince_;
 
+  /** The last write that was in force, and whether it still may be. */
   LeaseRecord held_;
+  bool owned_ = false;
   /** The lease is held before this moment. */
   TimePoint heldUntil_;
 };
