--- a/tests/MessageServerTest.cpp
+++ b/tests/MessageServerTest.cpp
@@ -1,6 +1,7 @@
 #include "net/MessageServer.h"
-#include "net/MessageClient.h"
 #include "net/FrameCodec.h"
+#include "net/MessageClient.h"
+#include "support/RunUntil.h"
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
@@ -44,17 +45,6 @@
   std::vector<ErrorKind> malformed;
 };
 
-template<class Condition>
-bool RunUntil(asio::io_context& aContext, Condition aCondition)
-{
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (!aCondition() && std::chrono::steady_clock::now() < end) {
-    aContext.restart();
-    aContext.run_one_for(std::chrono::milliseconds(50));
-  }
-  return aCondition();
-}
-
 /** Raw connection that has completed the WebSocket handshake. */
 asio::ip::tcp::socket Handshake(asio::io_context& aContext,
                                 RecordingServer& aServer)
