--- a/src/net/HttpRequest.h
+++ b/src/net/HttpRequest.h
@@ -15,6 +15,8 @@
   std::string target;
   HttpFields fields;
   std::string body;
+  /** True for the first request of its connection. */
+  bool firstOnConnection = false;
 };
 
 } // namespace lacewing
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -13,7 +14,10 @@
 
 class Responder;
 
-/** Finds the unanswered requests of a connection when it closes. */
+/**
+ * Finds the unanswered requests of a connection when it closes, and counts
+ * connections.
+ */
 class ConnectionListener
 {
 public:
@@ -26,6 +30,21 @@
   void Unregister(restinio::connection_id_t aConnection,
                   const Responder* aResponder);
 
+  /** True once for each connection. */
+  bool TakeFirst(restinio::connection_id_t aConnection)
+  {
+    return unused_.erase(aConnection) > 0;
+  }
+
+  /** RESTinio reports no close for a connection whose socket was taken. */
+  void Dropped(restinio::connection_id_t aConnection)
+  {
+    open_.erase(aConnection);
+  }
+
+  std::size_t Open() const { return open_.size(); }
+  std::uint64_t Accepted() const { return accepted_; }
+
   // The name is fixed by RESTinio.
   void state_changed(
     const restinio::connection_state::notice_t& aNotice) noexcept;
@@ -33,6 +52,10 @@
 private:
   std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Responder>>
     pending_;
+  /** Connections without a request so far. */
+  std::unordered_set<restinio::connection_id_t> unused_;
+  std::unordered_set<restinio::connection_id_t> open_;
+  std::uint64_t accepted_ = 0;
 };
 
 struct Traits : public restinio::default_single_thread_traits_t
@@ -79,6 +102,7 @@
       return;
     }
     const restinio::request_handle_t request = Take();
+    listener_->Dropped(request->connection_id());
     auto& connection = static_cast<Connection&>(
       *restinio::impl::access_req_connection(*request));
     auto internals = connection.move_upgrade_internals();
@@ -185,10 +209,19 @@
 void ConnectionListener::state_changed(
   const restinio::connection_state::notice_t& aNotice) noexcept
 {
+  if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+        aNotice.cause())) {
+    unused_.insert(aNotice.connection_id());
+    open_.insert(aNotice.connection_id());
+    ++accepted_;
+    return;
+  }
   if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
         aNotice.cause())) {
     return;
   }
+  unused_.erase(aNotice.connection_id());
+  open_.erase(aNotice.connection_id());
   std::vector<std::shared_ptr<Responder>> gone;
   const auto [first, last] = pending_.equal_range(aNotice.connection_id());
   for (auto entry = first; entry != last; ++entry) {
@@ -220,11 +253,15 @@
 {
   using Settings = restinio::server_settings_t<Traits>;
 
-  Impl(asio::io_context& aContext, Settings aSettings)
-    : server(restinio::external_io_context(aContext), std::move(aSettings))
+  Impl(asio::io_context& aContext,
+       std::shared_ptr<ConnectionListener> aListener,
+       Settings aSettings)
+    : listener(std::move(aListener))
+    , server(restinio::external_io_context(aContext), std::move(aSettings))
   {
   }
 
+  std::shared_ptr<ConnectionListener> listener;
   restinio::http_server_t<Traits> server;
 };
 
@@ -280,11 +317,14 @@
                        const restinio::request_handle_t& aRequest) {
       auto responder = std::make_shared<Responder>(aRequest, listener);
       listener->Register(aRequest->connection_id(), responder);
-      handler(ToRequest(*aRequest), std::move(responder));
+      HttpRequest request = ToRequest(*aRequest);
+      request.firstOnConnection =
+        listener->TakeFirst(aRequest->connection_id());
+      handler(std::move(request), std::move(responder));
       return restinio::request_accepted();
     });
   try {
-    auto impl = std::make_unique<Impl>(aContext, std::move(settings));
+    auto impl = std::make_unique<Impl>(aContext, listener, std::move(settings));
     impl->server.open_sync();
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
   } catch (const std::exception& error) {
@@ -307,4 +347,14 @@
   impl_->server.close_sync();
 }
 
+std::size_t HttpServer::OpenConnections() const
+{
+  return impl_->listener->Open();
+}
+
+std::uint64_t HttpServer::AcceptedConnections() const
+{
+  return impl_->listener->Accepted();
+}
+
 } // namespace lacewing
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -8,6 +8,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -33,6 +35,11 @@
   /** Stops listening; open connections go on. */
   void Close();
 
+  std::size_t OpenConnections() const;
+
+  /** Connections since the start. */
+  std::uint64_t AcceptedConnections() const;
+
 private:
   struct Impl;
   explicit HttpServer(std::unique_ptr<Impl> aImpl);
--- a/tools/standin/Platform.cpp
+++ b/tools/standin/Platform.cpp
@@ -94,6 +94,10 @@
   {
   }
 
+  ~Impl() { DropWatchers(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   Outcome<void> Listen(const Endpoint& aEndpoint)
   {
     HttpServerOptions options;
@@ -371,7 +375,14 @@
       staleObjects_ = objects_.All();
       StartStaleTimer();
     }
-    while (faults_.down && !watchers_.empty()) {
+    if (faults_.down) {
+      DropWatchers();
+    }
+  }
+
+  void DropWatchers()
+  {
+    while (!watchers_.empty()) {
       EndWatch(watchers_.begin())->Drop();
     }
   }
