--- a/tools/standin/TargetAdmin.cpp
+++ b/tools/standin/TargetAdmin.cpp
@@ -1,7 +1,6 @@
 #include "standin/TargetAdmin.h"
 
 #include "core/JsonProperties.h"
-#include "standin/Answers.h"
 
 #include <utility>
 
@@ -24,15 +23,7 @@
 
 } // namespace
 
-struct TargetAdmin::Route
-{
-  const char* method;
-  std::string_view path;
-  bool wholePath;
-  HttpResponse (TargetAdmin::*handle)(const HttpRequest&, const std::string&);
-};
-
-const TargetAdmin::Route TargetAdmin::kRoutes[] = {
+const AdminRoute<TargetAdmin> TargetAdmin::kRoutes[] = {
   { "GET", "/runs", true, &TargetAdmin::GetRuns },
   { "DELETE", "/runs", true, &TargetAdmin::ClearRuns },
   { "GET", "/stats", true, &TargetAdmin::GetStats },
@@ -72,24 +63,11 @@
       options,
       [self = admin.get()](const HttpRequest& aRequest,
                            const std::shared_ptr<HttpResponder>& aResponder) {
-        aResponder->Send(self->Answer(aRequest));
+        aResponder->Send(AnswerByRoute(*self, kRoutes, aRequest));
       }));
   return admin;
 }
 
-HttpResponse TargetAdmin::Answer(const HttpRequest& aRequest)
-{
-  const std::string path = RequestTarget::Parse(aRequest.target).path;
-  for (const Route& route : kRoutes) {
-    const bool samePath =
-      route.wholePath ? path == route.path : path.rfind(route.path, 0) == 0;
-    if (samePath && aRequest.method == route.method) {
-      return (this->*route.handle)(aRequest, path);
-    }
-  }
-  return StatusAnswer(404);
-}
-
 HttpResponse TargetAdmin::GetRuns(const HttpRequest&, const std::string&)
 {
   HttpResponse answer = StatusAnswer(200);
--- a/tools/standin/TargetAdmin.h
+++ b/tools/standin/TargetAdmin.h
@@ -4,7 +4,7 @@
 #include "lacewing/Clock.h"
 #include "lacewing/Outcome.h"
 #include "net/HttpServer.h"
-#include "standin/RequestTarget.h"
+#include "standin/AdminRoute.h"
 #include "standin/Target.h"
 
 #include <memory>
@@ -31,15 +31,13 @@
     TimePoint aProcessStart);
 
 private:
-  struct Route;
-  static const Route kRoutes[];
+  static const AdminRoute<TargetAdmin> kRoutes[];
 
   TargetAdmin(const Clock& aClock,
               const std::vector<std::unique_ptr<Target>>& aTargets,
               RunLog& aLog,
               TimePoint aProcessStart);
 
-  HttpResponse Answer(const HttpRequest& aRequest);
   HttpResponse GetRuns(const HttpRequest& aRequest, const std::string& aPath);
   HttpResponse ClearRuns(const HttpRequest& aRequest, const std::string& aPath);
   HttpResponse GetStats(const HttpRequest& aRequest, const std::string& aPath);
