Add lacewing-entryd with targets from its settings

Cause: entry hosts need an HTTP front end; other parts are tested against it. Change: src/entry forwards requests through one engine per worker thread and buffers whole answers; a status table serves every front end; bodies and answers are charged to a per-worker budget until they are written; admin pages; SIGTERM drains, stops listening and ends the open requests. HttpServer reports its port, closes a connection on request and keeps a value until the answer is written.

--- /dev/null
+++ b/src/entry/GracefulStop.cpp
@@ -0,0 +1,70 @@
+#include "entry/GracefulStop.h"
+
+#include "core/Log.h"
+
+namespace lacewing {
+
+namespace {
+
+// Half of the workers' report period, so that their last report is seen
+// without delay.
+constexpr std::chrono::milliseconds kPollPeriod(50);
+
+// Answers that were made at the deadline still have to be written.
+constexpr std::chrono::milliseconds kWriteReserve(2000);
+
+} // namespace
+
+GracefulStop::GracefulStop(asio::io_context& aContext,
+                           EntryControl& aControl,
+                           std::chrono::milliseconds aDrainDelay)
+  : context_(aContext)
+  , control_(aControl)
+  , drainDelay_(aDrainDelay)
+  , timer_(aContext)
+{
+}
+
+void GracefulStop::Begin()
+{
+  if (begun_) {
+    return;
+  }
+  begun_ = true;
+  Log(LogLevel::kInfo, "stop-begun");
+  control_.Drain();
+  timer_.expires_after(drainDelay_);
+  timer_.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      AfterDrain();
+    }
+  });
+}
+
+void GracefulStop::AfterDrain()
+{
+  control_.Stop();
+  giveUp_ = std::chrono::steady_clock::now() + control_.LongestDeadline() +
+            kWriteReserve;
+  Poll();
+}
+
+void GracefulStop::Poll()
+{
+  allAnswered_ = control_.Idle();
+  if (allAnswered_ || std::chrono::steady_clock::now() >= giveUp_) {
+    Log(allAnswered_ ? LogLevel::kInfo : LogLevel::kWarning,
+        "stop-ended",
+        { { "all_answered", allAnswered_ ? "yes" : "no" } });
+    context_.stop();
+    return;
+  }
+  timer_.expires_after(kPollPeriod);
+  timer_.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      Poll();
+    }
+  });
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/entry/GracefulStop.h
@@ -0,0 +1,43 @@
+#ifndef ENTRY_GRACEFULSTOP_H
+#define ENTRY_GRACEFULSTOP_H
+
+#include "entry/EntryControl.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace lacewing {
+
+/**
+ * Takes the steps of a planned stop: /ready off, drain delay, end of
+ * listening, end of the open requests, end of the control thread.
+ */
+class GracefulStop
+{
+public:
+  GracefulStop(asio::io_context& aContext,
+               EntryControl& aControl,
+               std::chrono::milliseconds aDrainDelay);
+
+  /** Later calls do nothing. */
+  void Begin();
+
+  /** Whether every open request was answered before the end. */
+  bool AllAnswered() const { return allAnswered_; }
+
+private:
+  void AfterDrain();
+  void Poll();
+
+  asio::io_context& context_;
+  EntryControl& control_;
+  std::chrono::milliseconds drainDelay_;
+  asio::steady_timer timer_;
+  std::chrono::steady_clock::time_point giveUp_;
+  bool begun_ = false;
+  bool allAnswered_ = false;
+};
+
+} // namespace lacewing
+
+#endif // ENTRY_GRACEFULSTOP_H
--- /dev/null
+++ b/src/entry/HopFields.cpp
@@ -0,0 +1,73 @@
+#include "entry/HopFields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lacewing {
+
+namespace {
+
+constexpr std::array<std::string_view, 11> kHopFields = {
+  "Connection",
+  "Keep-Alive",
+  "Proxy-Connection",
+  "TE",
+  "Trailer",
+  "Transfer-Encoding",
+  "Upgrade",
+  "Proxy-Authorization",
+  "Proxy-Authenticate",
+  "Expect",
+  "Content-Length",
+};
+
+bool IsHopField(std::string_view aName)
+{
+  return std::any_of(
+    kHopFields.begin(), kHopFields.end(), [aName](std::string_view aHop) {
+      return SameFieldName(aHop, aName);
+    });
+}
+
+std::string_view Trim(std::string_view aText)
+{
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t first = aText.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
+}
+
+/** Removes the fields that a Connection value lists, separated by commas. */
+void RemoveListed(std::string_view aList, HttpFields& aFields)
+{
+  while (!aList.empty()) {
+    const std::size_t comma = std::min(aList.find(','), aList.size());
+    const std::string_view name = Trim(aList.substr(0, comma));
+    if (!name.empty()) {
+      aFields.Remove(name);
+    }
+    aList.remove_prefix(std::min(comma + 1, aList.size()));
+  }
+}
+
+} // namespace
+
+HttpFields EndToEndFields(const HttpFields& aFields)
+{
+  HttpFields kept;
+  for (const HttpField& field : aFields) {
+    if (!IsHopField(field.name)) {
+      kept.Add(field.name, field.value);
+    }
+  }
+  for (const HttpField& field : aFields) {
+    if (SameFieldName(field.name, "Connection")) {
+      RemoveListed(field.value, kept);
+    }
+  }
+  return kept;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/entry/HopFields.h
@@ -0,0 +1,17 @@
+#ifndef ENTRY_HOPFIELDS_H
+#define ENTRY_HOPFIELDS_H
+
+#include "net/HttpFields.h"
+
+namespace lacewing {
+
+/**
+ * Copies the fields that pass through a proxy: without the hop-by-hop fields
+ * of RFC 9110 section 7.6.1, those that Connection names, and Content-Length
+ * and Expect, which each hop sets anew.
+ */
+HttpFields EndToEndFields(const HttpFields& aFields);
+
+} // namespace lacewing
+
+#endif // ENTRY_HOPFIELDS_H
--- /dev/null
+++ b/src/entry/PhaseTable.cpp
@@ -0,0 +1,33 @@
+#include "entry/PhaseTable.h"
+
+namespace lacewing {
+
+bool PhaseTable::Merge(const TargetId& aTarget, const TargetStatus& aStatus)
+{
+  const auto [entry, added] = phases_.emplace(aTarget, aStatus);
+  TargetStatus& known = entry->second;
+  const bool newer =
+    aStatus.epoch > known.epoch ||
+    (aStatus.epoch == known.epoch && aStatus.phase > known.phase);
+  if (newer) {
+    known = aStatus;
+  }
+  return added || newer;
+}
+
+TargetStatus PhaseTable::Find(const TargetId& aTarget) const
+{
+  const auto entry = phases_.find(aTarget);
+  return entry == phases_.end() ? TargetStatus{ Epoch(), unknown_ }
+                                : entry->second;
+}
+
+void PhaseTable::Keep(const std::set<TargetId>& aKept)
+{
+  for (auto entry = phases_.begin(); entry != phases_.end();) {
+    entry =
+      aKept.count(entry->first) == 0 ? phases_.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace lacewing
--- a/src/net/HttpResponder.h
+++ b/src/net/HttpResponder.h
@@ -4,6 +4,8 @@
 #include "net/HttpResponse.h"
 
 #include <functional>
+#include <memory>
+#include <utility>
 
 namespace lacewing {
 
@@ -16,7 +18,11 @@
 public:
   virtual ~HttpResponder() = default;
 
-  virtual void Send(HttpResponse aResponse) = 0;
+  /** Holds aKept until the answer is written or the connection closes. */
+  virtual void Send(HttpResponse aResponse,
+                    std::shared_ptr<const void> aKept) = 0;
+
+  void Send(HttpResponse aResponse) { Send(std::move(aResponse), nullptr); }
 
   /** Closes the connection without an answer; for stand-ins. */
   virtual void Drop() = 0;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -62,14 +62,16 @@
     if (request_) {
       HttpResponse response;
       response.status = 500;
-      Respond(std::move(response));
+      Respond(std::move(response), nullptr);
     }
   }
 
-  void Send(HttpResponse aResponse) override
+  using HttpResponder::Send;
+
+  void Send(HttpResponse aResponse, std::shared_ptr<const void> aKept) override
   {
     if (request_) {
-      Respond(std::move(aResponse));
+      Respond(std::move(aResponse), std::move(aKept));
     }
   }
 
@@ -109,20 +111,21 @@
     return std::exchange(request_, nullptr);
   }
 
-  void Respond(HttpResponse aResponse)
+  void Respond(HttpResponse aResponse, std::shared_ptr<const void> aKept)
   {
     const restinio::request_handle_t request = Take();
     if (request->header().method() == restinio::http_method_head()) {
-      RespondToHead(*request, std::move(aResponse));
+      RespondToHead(*request, std::move(aResponse), std::move(aKept));
       return;
     }
     auto response = request->create_response(StatusLine(aResponse.status));
-    Finish(*request, std::move(aResponse), response);
+    Finish(*request, std::move(aResponse), std::move(aKept), response);
   }
 
   // The length of the body that a GET would bring has to stay visible.
   static void RespondToHead(restinio::request_t& aRequest,
-                            HttpResponse aResponse)
+                            HttpResponse aResponse,
+                            std::shared_ptr<const void> aKept)
   {
     auto response =
       aRequest.create_response<restinio::user_controlled_output_t>(
@@ -133,7 +136,7 @@
     }
     response.set_content_length(length);
     aResponse.body.clear();
-    Finish(aRequest, std::move(aResponse), response);
+    Finish(aRequest, std::move(aResponse), std::move(aKept), response);
   }
 
   static restinio::http_status_line_t StatusLine(int aStatus)
@@ -145,14 +148,18 @@
   template<class Builder>
   static void Finish(restinio::request_t& aRequest,
                      HttpResponse aResponse,
+                     std::shared_ptr<const void> aKept,
                      Builder& aBuilder)
   {
+    bool keepAlive = aRequest.header().should_keep_alive();
     for (const HttpField& field : aResponse.fields) {
-      if (!SameFieldName(field.name, "Content-Length")) {
+      if (SameFieldName(field.name, "Connection")) {
+        keepAlive = keepAlive && !SameFieldName(field.value, "close");
+      } else if (!SameFieldName(field.name, "Content-Length")) {
         aBuilder.append_header(field.name, field.value);
       }
     }
-    if (aRequest.header().should_keep_alive()) {
+    if (keepAlive) {
       aBuilder.connection_keep_alive();
     } else {
       aBuilder.connection_close();
@@ -160,7 +167,11 @@
     if (!aResponse.body.empty()) {
       aBuilder.set_body(std::move(aResponse.body));
     }
-    aBuilder.done();
+    if (aKept) {
+      aBuilder.done([kept = std::move(aKept)](const auto&) {});
+    } else {
+      aBuilder.done();
+    }
   }
 
   restinio::request_handle_t request_;
@@ -226,6 +237,7 @@
   }
 
   restinio::http_server_t<Traits> server;
+  std::uint16_t port = 0;
 };
 
 namespace {
@@ -254,6 +266,7 @@
   HttpHandler aHandler)
 {
   auto listener = std::make_shared<ConnectionListener>();
+  auto port = std::make_shared<std::uint16_t>(0);
   Impl::Settings settings;
   settings.address(aOptions.endpoint.address)
     .port(aOptions.endpoint.port)
@@ -266,6 +279,9 @@
     .incoming_http_msg_limits(MessageLimits(aOptions))
     .max_parallel_connections(aOptions.maxConnections)
     .connection_state_listener(listener)
+    .acceptor_post_bind_hook([port](const asio::ip::tcp::acceptor& aAcceptor) {
+      *port = aAcceptor.local_endpoint().port();
+    })
     .acceptor_options_setter([reuse = aOptions.reusePort](auto& aAcceptor) {
       aAcceptor.set_option(asio::socket_base::reuse_address(true));
       if (reuse) {
@@ -286,6 +302,7 @@
   try {
     auto impl = std::make_unique<Impl>(aContext, std::move(settings));
     impl->server.open_sync();
+    impl->port = *port;
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
   } catch (const std::exception& error) {
     return Fail(ErrorKind::kUnavailable,
@@ -302,6 +319,11 @@
 
 HttpServer::~HttpServer() = default;
 
+std::uint16_t HttpServer::Port() const
+{
+  return impl_->port;
+}
+
 void HttpServer::Close()
 {
   impl_->server.close_sync();
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -30,6 +31,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** The port listened on, chosen by the kernel when the endpoint's is 0. */
+  std::uint16_t Port() const;
+
   /** Stops listening; open connections go on. */
   void Close();
 
