--- a/src/config/ServiceField.h
+++ b/src/config/ServiceField.h
@@ -21,8 +21,10 @@
                               std::chrono::milliseconds ServiceConfig::*,
                               std::set<std::string> ServiceConfig::*>;
 
-  /** Name in blobs and, with spaces for underscores, in sheets. */
+  /** Name in blobs. */
   const char* name;
+  /** Column heading in sheets, and name in messages to operators. */
+  const char* heading;
   Member member;
   /** Smallest and largest number, or number of elements. */
   std::uint64_t min;
@@ -35,14 +37,34 @@
 inline const std::array<ServiceField, 8>& ServiceFields()
 {
   static const std::array<ServiceField, 8> fields{ {
-    { "slots", &ServiceConfig::slots, 1, 4096 },
-    { "connections", &ServiceConfig::connections, 1, 100'000 },
-    { "idempotent_methods", &ServiceConfig::idempotentMethods, 0, 16 },
-    { "deadline", &ServiceConfig::deadline, 1, kMillisecondsPerHour },
-    { "measuring_budget", &ServiceConfig::measuringBudget, 0, 10'000 },
-    { "cold_limit", &ServiceConfig::coldLimit, 1, 4096 },
-    { "cold_time", &ServiceConfig::coldTime, 0, kMillisecondsPerHour },
-    { "ramp_time", &ServiceConfig::rampTime, 0, kMillisecondsPerHour },
+    { "slots", "slots", &ServiceConfig::slots, 1, 4096 },
+    { "connections", "connections", &ServiceConfig::connections, 1, 100'000 },
+    { "idempotent_methods",
+      "idempotent methods",
+      &ServiceConfig::idempotentMethods,
+      0,
+      16 },
+    { "deadline",
+      "deadline",
+      &ServiceConfig::deadline,
+      1,
+      kMillisecondsPerHour },
+    { "measuring_budget",
+      "measuring budget",
+      &ServiceConfig::measuringBudget,
+      0,
+      10'000 },
+    { "cold_limit", "cold-start limit", &ServiceConfig::coldLimit, 1, 4096 },
+    { "cold_time",
+      "cold time",
+      &ServiceConfig::coldTime,
+      0,
+      kMillisecondsPerHour },
+    { "ramp_time",
+      "ramp time",
+      &ServiceConfig::rampTime,
+      0,
+      kMillisecondsPerHour },
   } };
   return fields;
 }
