--- a/src/config/SettingText.cpp
+++ b/src/config/SettingText.cpp
@@ -2,6 +2,8 @@
 
 #include "core/UnitText.h"
 
+#include <algorithm>
+#include <charconv>
 #include <sstream>
 
 namespace lacewing {
@@ -16,9 +18,10 @@
   return Fail(ErrorKind::kInvalidArgument, "\"" + aText + "\"", aRemedy);
 }
 
-std::chrono::milliseconds Milliseconds(std::uint64_t aCount)
+std::string FormatMilliseconds(std::uint64_t aCount)
 {
-  return std::chrono::milliseconds(aCount);
+  return aCount == 0 ? "0 ms"
+                     : FormatDuration(std::chrono::milliseconds(aCount));
 }
 
 /** Parses the text into the member that it is called with. */
@@ -42,7 +45,12 @@
   Outcome<void> operator()(
     StrongNumber<Tag, std::uint32_t> ServiceConfig::*aMember) const
   {
-    BOOST_OUTCOME_TRY(const auto count, ParseCount(text));
+    std::uint64_t count = 0;
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, count);
+    if (error != std::errc() || end != last) {
+      return Refuse(text, "write a whole number, as in 6");
+    }
     BOOST_OUTCOME_TRY(
       Range(count, std::to_string(field.min), std::to_string(field.max)));
     service.*aMember =
@@ -52,17 +60,25 @@
 
   Outcome<void> operator()(BasisPoints ServiceConfig::*aMember) const
   {
-    BOOST_OUTCOME_TRY(service.*aMember, ParseShare(text));
+    // Spreadsheets of some languages export a decimal comma.
+    std::string point = text;
+    std::replace(point.begin(), point.end(), ',', '.');
+    BOOST_OUTCOME_TRY(service.*aMember, ParseShare(point));
     return outcome::success();
   }
 
   Outcome<void> operator()(
     std::chrono::milliseconds ServiceConfig::*aMember) const
   {
-    BOOST_OUTCOME_TRY(const auto time, ParseDuration(text));
+    BOOST_OUTCOME_TRY(const auto exact, ParseDuration(text));
+    const auto time =
+      std::chrono::duration_cast<std::chrono::milliseconds>(exact);
+    if (time != exact) {
+      return Refuse(text, "write a whole number of ms, as in 250 ms");
+    }
     BOOST_OUTCOME_TRY(Range(static_cast<std::uint64_t>(time.count()),
-                            FormatDuration(Milliseconds(field.min)),
-                            FormatDuration(Milliseconds(field.max))));
+                            FormatMilliseconds(field.min),
+                            FormatMilliseconds(field.max)));
     service.*aMember = time;
     return outcome::success();
   }
@@ -106,7 +122,8 @@
   std::string operator()(
     std::chrono::milliseconds ServiceConfig::*aMember) const
   {
-    return FormatDuration(service.*aMember);
+    return FormatMilliseconds(
+      static_cast<std::uint64_t>((service.*aMember).count()));
   }
   std::string operator()(std::set<std::string> ServiceConfig::*aMember) const
   {
--- a/src/core/UnitText.cpp
+++ b/src/core/UnitText.cpp
@@ -1,165 +1,162 @@
 #include "core/UnitText.h"
 
-#include <algorithm>
+#include <fmt/format.h>
+
 #include <array>
 #include <charconv>
+#include <cstdint>
+#include <limits>
 #include <optional>
-#include <utility>
+#include <string_view>
 
 namespace lacewing {
 
 namespace {
 
-constexpr const char* kCountRemedy = "write a whole number, as in 6";
-constexpr const char* kDurationRemedy =
-  "write a time with its unit (ms, s, min or h), as in 250 ms";
-constexpr const char* kShareRemedy =
-  "write a share with at most two decimals, as in 1 %";
-
-struct TimeUnit
+struct Unit
 {
-  const char* name;
-  std::uint64_t milliseconds;
+  std::string_view name;
+  std::uint64_t factor;
 };
 
-/** Largest first, as FormatDuration tries them. */
-constexpr std::array<TimeUnit, 4> kTimeUnits{ {
-  { "h", 3'600'000 },
-  { "min", 60'000 },
-  { "s", 1'000 },
-  { "ms", 1 },
+// Ordered from the largest so that formatting picks the largest that divides.
+constexpr std::array<Unit, 6> kDurationUnits{ {
+  { "h", 3'600'000'000'000 },
+  { "min", 60'000'000'000 },
+  { "s", 1'000'000'000 },
+  { "ms", 1'000'000 },
+  { "us", 1'000 },
+  { "ns", 1 },
+} };
+
+constexpr std::array<Unit, 4> kByteUnits{ {
+  { "GiB", 1U << 30U },
+  { "MiB", 1U << 20U },
+  { "KiB", 1U << 10U },
+  { "B", 1 },
 } };
 
-/** Times beyond this are typing errors; keeps products within 64 bits. */
-constexpr std::uint64_t kMaxNumber = 1'000'000'000;
+constexpr std::uint64_t kBasisPointsPerPercent = 100;
 
-auto Refuse(std::string_view aText, const char* aRemedy)
+std::string_view TrimLeft(std::string_view aText)
 {
-  return Fail(ErrorKind::kInvalidArgument,
-              "\"" + std::string(aText) + "\" is not understood",
-              aRemedy);
+  while (!aText.empty() && aText.front() == ' ') {
+    aText.remove_prefix(1);
+  }
+  return aText;
 }
 
-std::optional<std::uint64_t> WholeNumber(std::string_view aText)
+template<std::size_t N>
+std::optional<std::uint64_t> ParseWithUnit(std::string_view aText,
+                                           const std::array<Unit, N>& aUnits)
 {
   std::uint64_t number = 0;
-  const char* last = aText.data() + aText.size();
+  const char* const last = aText.data() + aText.size();
   const auto [end, error] = std::from_chars(aText.data(), last, number);
-  if (aText.empty() || error != std::errc() || end != last ||
-      number > kMaxNumber) {
+  if (error != std::errc()) {
     return std::nullopt;
   }
-  return number;
-}
-
-/** Splits "12.5 ms" into its number and its unit. */
-std::pair<std::string_view, std::string_view> SplitUnit(std::string_view aText)
-{
-  const auto end = aText.find_first_not_of("0123456789.,");
-  if (end == std::string_view::npos) {
-    return { aText, {} };
+  const std::string_view name =
+    TrimLeft(aText.substr(static_cast<std::size_t>(end - aText.data())));
+  constexpr auto kMax =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+  for (const Unit& unit : aUnits) {
+    if (name == unit.name && number <= kMax / unit.factor) {
+      return number * unit.factor;
+    }
   }
-  const std::string_view number = aText.substr(0, end);
-  std::string_view unit = aText.substr(end);
-  unit.remove_prefix(std::min(unit.find_first_not_of(' '), unit.size()));
-  return { number, unit };
+  return std::nullopt;
 }
 
-/** The decimal number times aScale, if that is a whole number. */
-std::optional<std::uint64_t> Scaled(std::string_view aNumber,
-                                    std::uint64_t aScale)
+template<std::size_t N>
+std::string FormatWithUnit(std::uint64_t aNumber,
+                           const std::array<Unit, N>& aUnits)
 {
-  const auto mark = aNumber.find_first_of(".,");
-  const auto whole = WholeNumber(aNumber.substr(0, mark));
-  if (!whole) {
-    return std::nullopt;
-  }
-  std::uint64_t result = *whole * aScale;
-  if (mark == std::string_view::npos) {
-    return result;
-  }
-  std::string_view decimals = aNumber.substr(mark + 1);
-  if (decimals.empty()) {
-    return std::nullopt;
-  }
-  std::uint64_t scale = aScale;
-  for (const char digit : decimals) {
-    if (digit < '0' || digit > '9') {
-      return std::nullopt;
-    }
-    const auto value = static_cast<std::uint64_t>(digit - '0');
-    if (value * scale % 10 != 0) {
-      return std::nullopt;
+  for (const Unit& unit : aUnits) {
+    if (aNumber != 0 && aNumber % unit.factor == 0) {
+      return fmt::format("{} {}", aNumber / unit.factor, unit.name);
     }
-    result += value * scale / 10;
-    // A scale that is used up leaves room for zeros only.
-    scale = scale % 10 == 0 ? scale / 10 : 0;
   }
-  return result;
+  return fmt::format("0 {}", aUnits.back().name);
 }
 
 } // namespace
 
-Outcome<std::uint64_t> ParseCount(std::string_view aText)
+Outcome<Duration> ParseDuration(const std::string& aText)
+{
+  const auto parsed = ParseWithUnit(aText, kDurationUnits);
+  if (!parsed) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "\"" + aText + "\" is not a duration",
+                "write a whole number with ns, us, ms, s, min or h, "
+                "as in \"250 ms\"");
+  }
+  return Duration(static_cast<Duration::rep>(*parsed));
+}
+
+Outcome<ByteCount> ParseByteCount(const std::string& aText)
 {
-  const auto number = WholeNumber(aText);
-  if (!number) {
-    return Refuse(aText, kCountRemedy);
+  const auto parsed = ParseWithUnit(aText, kByteUnits);
+  if (!parsed) {
+    return Fail(
+      ErrorKind::kInvalidArgument,
+      "\"" + aText + "\" is not a size",
+      "write a whole number with B, KiB, MiB or GiB, as in \"8 MiB\"");
   }
-  return *number;
+  return ByteCount(*parsed);
 }
 
-Outcome<std::chrono::milliseconds> ParseDuration(std::string_view aText)
+Outcome<BasisPoints> ParseShare(const std::string& aText)
 {
-  const auto [number, name] = SplitUnit(aText);
-  for (const TimeUnit& unit : kTimeUnits) {
-    if (name == unit.name) {
-      const auto time = Scaled(number, unit.milliseconds);
-      if (!time) {
-        break;
+  const auto refuse = [&aText] {
+    return Fail(ErrorKind::kInvalidArgument,
+                "\"" + aText + "\" is not a percentage from 0 to 100",
+                "write up to two decimals and a %, as in \"2.5 %\"");
+  };
+  const char* const last = aText.data() + aText.size();
+  std::uint32_t whole = 0;
+  auto [end, error] = std::from_chars(aText.data(), last, whole);
+  if (error != std::errc() || whole > kBasisPointsPerPercent) {
+    return refuse();
+  }
+  std::uint32_t points = whole * kBasisPointsPerPercent;
+  if (end != last && *end == '.') {
+    std::uint32_t weight = kBasisPointsPerPercent / 10;
+    for (++end; end != last && *end >= '0' && *end <= '9'; ++end) {
+      if (weight == 0) {
+        return refuse();
       }
-      return std::chrono::milliseconds(*time);
+      points += static_cast<std::uint32_t>(*end - '0') * weight;
+      weight /= 10;
     }
   }
-  return Refuse(aText, kDurationRemedy);
+  const std::string_view rest =
+    TrimLeft(std::string_view(end, static_cast<std::size_t>(last - end)));
+  if (rest != "%" || points > kBasisPointsPerPercent * 100) {
+    return refuse();
+  }
+  return BasisPoints(points);
 }
 
-Outcome<BasisPoints> ParseShare(std::string_view aText)
+std::string FormatDuration(Duration aDuration)
 {
-  constexpr std::uint64_t kPerCent = 100;
-  constexpr std::uint64_t kWhole = 100 * kPerCent;
-  const auto [number, unit] = SplitUnit(aText);
-  const auto share = Scaled(number, kPerCent);
-  if (unit != "%" || !share || *share > kWhole) {
-    return Refuse(aText, kShareRemedy);
-  }
-  return BasisPoints(static_cast<std::uint32_t>(*share));
+  return FormatWithUnit(static_cast<std::uint64_t>(aDuration.count()),
+                        kDurationUnits);
 }
 
-std::string FormatDuration(std::chrono::milliseconds aTime)
+std::string FormatByteCount(ByteCount aBytes)
 {
-  const auto time = static_cast<std::uint64_t>(aTime.count());
-  for (const TimeUnit& unit : kTimeUnits) {
-    if (time != 0 && time % unit.milliseconds == 0) {
-      return std::to_string(time / unit.milliseconds) + " " + unit.name;
-    }
-  }
-  return std::to_string(time) + " ms";
+  return FormatWithUnit(aBytes.value(), kByteUnits);
 }
 
 std::string FormatShare(BasisPoints aShare)
 {
-  constexpr std::uint32_t kPerCent = 100;
-  std::string text = std::to_string(aShare.value() / kPerCent);
-  if (aShare.value() % kPerCent != 0) {
-    std::string decimals = std::to_string(kPerCent + aShare.value() % kPerCent);
-    decimals.erase(0, 1);
-    if (decimals.back() == '0') {
-      decimals.pop_back();
-    }
-    text += "." + decimals;
+  const std::uint32_t whole = aShare.value() / kBasisPointsPerPercent;
+  const std::uint32_t rest = aShare.value() % kBasisPointsPerPercent;
+  if (rest == 0) {
+    return fmt::format("{} %", whole);
   }
-  return text + " %";
+  return fmt::format("{}.{:02} %", whole, rest);
 }
 
 } // namespace lacewing
--- a/src/core/UnitText.h
+++ b/src/core/UnitText.h
@@ -2,34 +2,26 @@
 #define CORE_UNITTEXT_H
 
 #include "lacewing/BasisPoints.h"
+#include "lacewing/ByteCount.h"
+#include "lacewing/Clock.h"
 #include "lacewing/Outcome.h"
 
-#include <chrono>
-#include <cstdint>
 #include <string>
-#include <string_view>
 
 namespace lacewing {
 
-/**
- * Values with their units as people write them; a space before the unit is
- * optional, and the decimal mark is a point or a comma. All fail with
- * kInvalidArgument.
- */
+/** Parses a whole number with a unit: "250 ms", "3 s", "15 min" or "50 us". */
+Outcome<Duration> ParseDuration(const std::string& aText);
 
-/** A whole number without sign, as in "6". */
-Outcome<std::uint64_t> ParseCount(std::string_view aText);
+/** Parses a whole number with a unit: "512 B", "64 KiB", "8 MiB", "1 GiB". */
+Outcome<ByteCount> ParseByteCount(const std::string& aText);
 
-/** A time in ms, s, min or h that is a whole number of ms, as in "1.5 s". */
-Outcome<std::chrono::milliseconds> ParseDuration(std::string_view aText);
+/** Parses a percentage with up to two decimals: "1 %", "2.5%". */
+Outcome<BasisPoints> ParseShare(const std::string& aText);
 
-/** A share in hundredths of one per cent at the finest, as in "0.25 %". */
-Outcome<BasisPoints> ParseShare(std::string_view aText);
-
-/** The time in the largest unit that gives a whole number: "250 ms", "3 s". */
-std::string FormatDuration(std::chrono::milliseconds aTime);
-
-/** "1 %", "0.25 %". */
+/** The shortest form that the parsers read back, for messages. */
+std::string FormatDuration(Duration aDuration);
+std::string FormatByteCount(ByteCount aBytes);
 std::string FormatShare(BasisPoints aShare);
 
 } // namespace lacewing
--- a/tests/SheetReaderTest.cpp
+++ b/tests/SheetReaderTest.cpp
@@ -1,9 +1,9 @@
 #include "config/SheetReader.h"
 #include "config/ConfigEncoder.h"
-#include "core/UnitText.h"
+#include "config/SettingText.h"
+#include "support/ConfigGenerators.h"
 
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 #include <algorithm>
 
@@ -190,30 +190,52 @@
 
 // Guards against values that change between sheet and message, and against
 // units that are guessed.
-TEST_CASE("units are read and written alike")
+TEST_CASE("settings are read and written alike")
 {
-  CHECK(ParseDuration("1.5 s").value() == std::chrono::milliseconds(1500));
-  CHECK(ParseDuration("0 ms").value() == std::chrono::milliseconds(0));
-  CHECK(ParseShare("0,25%").value() == BasisPoints(25));
+  const auto& fields = ServiceFields();
+  const auto field = [&](const std::string& aHeading) {
+    return *std::find_if(fields.begin(), fields.end(), [&](const auto& aField) {
+      return aHeading == aField.heading;
+    });
+  };
+  ServiceConfig service;
   for (const char* wrong : { "",
                              "ms",
                              "10",
                              "-1 s",
-                             "1.2345 s",
-                             "1..5 s",
                              "1 S",
-                             "1. s",
-                             "9e9 s",
-                             "99999999999 h" }) {
-    CHECK_MESSAGE(!ParseDuration(wrong).has_value(), wrong);
+                             "1500 us",
+                             "2 h",
+                             "0 ms",
+                             "99999999999 h",
+                             "9e9 s" }) {
+    CHECK_MESSAGE(!ParseSetting(field("deadline"), wrong, service).has_value(),
+                  wrong);
   }
-  for (const char* wrong : { "1", "101 %", "0.001 %", "% 1", "one %" }) {
-    CHECK_MESSAGE(!ParseShare(wrong).has_value(), wrong);
+  for (const char* wrong : { "", "1", "101 %", "0.001 %", "% 1", "one %" }) {
+    CHECK_MESSAGE(
+      !ParseSetting(field("measuring budget"), wrong, service).has_value(),
+      wrong);
   }
-  CHECK(rc::check([] {
-    const std::chrono::milliseconds time(*rc::gen::inRange(0, 100'000'000));
-    RC_ASSERT(ParseDuration(FormatDuration(time)).value() == time);
-    const BasisPoints share(*rc::gen::inRange<std::uint32_t>(0, 10'001));
-    RC_ASSERT(ParseShare(FormatShare(share)).value() == share);
+  for (const char* wrong : { "", "0", "-1", "1.0", "4097", "3 slots" }) {
+    CHECK_MESSAGE(!ParseSetting(field("slots"), wrong, service).has_value(),
+                  wrong);
+  }
+  REQUIRE(
+    ParseSetting(field("measuring budget"), "0,25%", service).has_value());
+  CHECK(service.measuringBudget == BasisPoints(25));
+  CHECK(rc::check([&] {
+    const Configuration configuration = AnyConfiguration();
+    for (const auto& [id, original] : configuration.services) {
+      ServiceConfig copy;
+      copy.idempotentMethods.clear();
+      for (const ServiceField& each : fields) {
+        const std::string text = FormatSetting(each, *original);
+        RC_ASSERT(ParseSetting(each, text, copy).has_value());
+        RC_ASSERT(FormatSetting(each, copy) == text);
+      }
+      RC_ASSERT(copy.deadline == original->deadline);
+      RC_ASSERT(copy.idempotentMethods == original->idempotentMethods);
+    }
   }));
 }
