Match the grant messages to the grant ledger

Cause: the ledger in src/decision numbers grants and names the asker by host and incarnation; the first codec identified a grant by its sending time. Change: the grant messages carry id, asker and times as Grant, GrantWant and GrantReturn have them. The entry's phases are named KnownPhases, apart from controld's PhaseTable.

--- a/src/entry/EntryControl.h
+++ b/src/entry/EntryControl.h
@@ -4,7 +4,7 @@
 #include "config/Configuration.h"
 #include "entry/EntrySettings.h"
 #include "entry/EntryState.h"
-#include "entry/PhaseTable.h"
+#include "entry/KnownPhases.h"
 #include "entry/SnapshotBuilder.h"
 #include "entry/TrafficWorker.h"
 
@@ -42,7 +42,7 @@
 
   const Workers& workers_;
   SnapshotBuilder builder_;
-  PhaseTable phases_;
+  KnownPhases phases_;
   std::shared_ptr<const Configuration> configuration_;
   EntryState state_;
 };
--- a/src/entry/PhaseTable.cpp
+++ b/src/entry/KnownPhases.cpp
@@ -1,8 +1,8 @@
-#include "entry/PhaseTable.h"
+#include "entry/KnownPhases.h"
 
 namespace lacewing {
 
-bool PhaseTable::Merge(const TargetId& aTarget, const TargetStatus& aStatus)
+bool KnownPhases::Merge(const TargetId& aTarget, const TargetStatus& aStatus)
 {
   const auto [entry, added] = phases_.emplace(aTarget, aStatus);
   TargetStatus& known = entry->second;
@@ -15,14 +15,14 @@
   return added || newer;
 }
 
-TargetStatus PhaseTable::Find(const TargetId& aTarget) const
+TargetStatus KnownPhases::Find(const TargetId& aTarget) const
 {
   const auto entry = phases_.find(aTarget);
   return entry == phases_.end() ? TargetStatus{ Epoch(), unknown_ }
                                 : entry->second;
 }
 
-void PhaseTable::Keep(const std::set<TargetId>& aKept)
+void KnownPhases::Keep(const std::set<TargetId>& aKept)
 {
   for (auto entry = phases_.begin(); entry != phases_.end();) {
     entry =
--- a/src/entry/PhaseTable.h
+++ b/src/entry/KnownPhases.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_PHASETABLE_H
-#define ENTRY_PHASETABLE_H
+#ifndef ENTRY_KNOWNPHASES_H
+#define ENTRY_KNOWNPHASES_H
 
 #include "entry/TargetStatus.h"
 #include "lacewing/TargetId.h"
@@ -13,10 +13,10 @@
  * Phases of targets as controld tells them. A target that nothing is known
  * of is cold, or has the phase given at construction.
  */
-class PhaseTable
+class KnownPhases
 {
 public:
-  explicit PhaseTable(TargetPhase aUnknown = TargetPhase::kCold)
+  explicit KnownPhases(TargetPhase aUnknown = TargetPhase::kCold)
     : unknown_(aUnknown)
   {
   }
@@ -39,4 +39,4 @@
 
 } // namespace lacewing
 
-#endif // ENTRY_PHASETABLE_H
+#endif // ENTRY_KNOWNPHASES_H
--- a/src/entry/SnapshotBuilder.cpp
+++ b/src/entry/SnapshotBuilder.cpp
@@ -43,7 +43,7 @@
 
 std::shared_ptr<const RoutingSnapshot> SnapshotBuilder::Build(
   const Configuration& aConfiguration,
-  const PhaseTable& aPhases)
+  const KnownPhases& aPhases)
 {
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->version = aConfiguration.version;
@@ -66,7 +66,7 @@
 std::shared_ptr<const ServiceRoute> SnapshotBuilder::BuildRoute(
   const ServiceConfig& aService,
   const Configuration& aConfiguration,
-  const PhaseTable& aPhases) const
+  const KnownPhases& aPhases) const
 {
   auto route = std::make_shared<ServiceRoute>();
   route->id = aService.id;
--- a/src/entry/SnapshotBuilder.h
+++ b/src/entry/SnapshotBuilder.h
@@ -3,7 +3,7 @@
 
 #include "config/Configuration.h"
 #include "decision/RoutingSnapshot.h"
-#include "entry/PhaseTable.h"
+#include "entry/KnownPhases.h"
 #include "lacewing/HostId.h"
 
 #include <memory>
@@ -27,13 +27,13 @@
 
   std::shared_ptr<const RoutingSnapshot> Build(
     const Configuration& aConfiguration,
-    const PhaseTable& aPhases);
+    const KnownPhases& aPhases);
 
 private:
   std::shared_ptr<const ServiceRoute> BuildRoute(
     const ServiceConfig& aService,
     const Configuration& aConfiguration,
-    const PhaseTable& aPhases) const;
+    const KnownPhases& aPhases) const;
   ConnectionCount ConnectionsPerWorker(
     const ServiceConfig& aService,
     const Configuration& aConfiguration) const;
--- a/src/wire/GrantReturnEntry.h
+++ b/src/wire/GrantReturnEntry.h
@@ -1,10 +1,10 @@
 #ifndef WIRE_GRANTRETURNENTRY_H
 #define WIRE_GRANTRETURNENTRY_H
 
-#include "lacewing/Epoch.h"
-#include "lacewing/SlotCount.h"
+#include "decision/GrantId.h"
+#include "lacewing/HostId.h"
+#include "lacewing/Incarnation.h"
 #include "lacewing/TargetId.h"
-#include "wire/SentTime.h"
 #include "wire/WireMember.h"
 
 #include <tuple>
@@ -12,22 +12,25 @@
 namespace lacewing {
 
 /**
- * Gives back slots of the grant that sent identifies. No request that was
- * sent under them is in progress any more.
+ * Gives back the grants of a target up to lastGrant; no request that was
+ * sent under them is in progress. See GrantReturn.
  */
 struct GrantReturnEntry
 {
+  /** Host of the asker, also when another host passes the message on. */
+  HostId host;
+  /** Run of the asking entryd. */
+  Incarnation incarnation;
   TargetId target;
-  Epoch epoch;
-  SlotCount slots;
-  SentTime sent;
+  GrantId lastGrant;
 
   static constexpr auto WireMembers()
   {
-    return std::make_tuple(WireMember{ "target", &GrantReturnEntry::target },
-                           WireMember{ "epoch", &GrantReturnEntry::epoch },
-                           WireMember{ "slots", &GrantReturnEntry::slots },
-                           WireMember{ "sent", &GrantReturnEntry::sent });
+    return std::make_tuple(
+      WireMember{ "host", &GrantReturnEntry::host },
+      WireMember{ "incarnation", &GrantReturnEntry::incarnation },
+      WireMember{ "target", &GrantReturnEntry::target },
+      WireMember{ "last_grant", &GrantReturnEntry::lastGrant });
   }
 };
 
--- a/src/wire/WireValue.cpp
+++ b/src/wire/WireValue.cpp
@@ -93,8 +93,9 @@
 
 bool FromWire(const nlohmann::json& aJson, Duration& aValue)
 {
-  // Longer times do not occur and could overflow in sums.
-  constexpr std::chrono::hours kLongest(24 * 365);
+  // Times on a monotonic clock count from the start of the machine; longer
+  // ones do not occur and could overflow in sums.
+  constexpr std::chrono::hours kLongest(24 * 365 * 20);
   if (!aJson.is_number_integer()) {
     return false;
   }
--- a/tests/MessageServerTest.cpp
+++ b/tests/MessageServerTest.cpp
@@ -1,6 +1,6 @@
 #include "net/MessageServer.h"
-#include "net/MessageClient.h"
 #include "net/FrameCodec.h"
+#include "net/MessageClient.h"
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
