--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -8,7 +8,10 @@
 
 #include <asio/io_context.hpp>
 
+<<<<<<< HEAD
 #include <cstddef>
+=======
+>>>>>>> entry
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -32,6 +35,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** The port listened on, chosen by the kernel when the endpoint's is 0. */
+  std::uint16_t Port() const;
+
   /** Stops listening; open connections go on. */
   void Close();
 
