--- a/src/control/ConfigCollector.cpp
+++ b/src/control/ConfigCollector.cpp
@@ -45,8 +45,7 @@
     *this = ConfigCollector();
     collected_.head.version = aPart.version;
   }
-  if (aPart.part != nextPart_ ||
-      aPart.version != collected_.head.version) {
+  if (aPart.part != nextPart_ || aPart.version != collected_.head.version) {
     return Fail(ErrorKind::kInvalidMessage,
                 "a part of a configuration is out of order",
                 "ask for the configuration again");
--- a/src/control/ConfigFollower.cpp
+++ b/src/control/ConfigFollower.cpp
@@ -251,7 +251,8 @@
       ReadHead();
       return;
     }
-    Pause(Jitter(std::chrono::duration_cast<milliseconds>(terms_.slowPollTime)));
+    Pause(
+      Jitter(std::chrono::duration_cast<milliseconds>(terms_.slowPollTime)));
   }
 
   void BackOff()
@@ -263,8 +264,8 @@
   /** Between half and one and a half of aTime, so that hosts spread out. */
   milliseconds Jitter(milliseconds aTime)
   {
-    std::uniform_int_distribution<std::int64_t> spread(
-      aTime.count() / 2, aTime.count() * 3 / 2);
+    std::uniform_int_distribution<std::int64_t> spread(aTime.count() / 2,
+                                                       aTime.count() * 3 / 2);
     return milliseconds(spread(random_));
   }
 
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -8,10 +8,7 @@
 
 #include <asio/io_context.hpp>
 
-<<<<<<< HEAD
 #include <cstddef>
-=======
->>>>>>> entry
 #include <cstdint>
 #include <functional>
 #include <memory>
