Add the exchanges of the control daemon

Cause: controlds share membership, configuration, leases, phases and grants (design, sections 5.4 and 6).

HelloMessage gets the sender's address; MessageServer and MessageClient can send encoded frames.

--- /dev/null
+++ b/src/control/PhaseDesk.cpp
@@ -0,0 +1,162 @@
+#include "control/PhaseDesk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+// Entries of about 60 bytes, so that a message stays below 64 KB.
+constexpr std::size_t kMaxEntries = 1000;
+
+} // namespace
+
+PhaseDesk::PhaseDesk(const Clock& aClock,
+                     const TargetIndex& aIndex,
+                     PeerLinks& aLinks,
+                     LeaseCheck aHolds)
+  : index_(aIndex)
+  , links_(aLinks)
+  , holds_(std::move(aHolds))
+  , phases_(aClock)
+{
+}
+
+void PhaseDesk::OnConfig()
+{
+  for (auto target = known_.begin(); target != known_.end();) {
+    if (index_.Find(*target) == nullptr) {
+      phases_.RemoveTarget(*target);
+      notWarm_.erase(*target);
+      target = known_.erase(target);
+    } else {
+      ++target;
+    }
+  }
+  for (const auto& [target, entry] : index_.All()) {
+    phases_.SetTarget(target, entry.warmUp);
+    if (known_.insert(target).second) {
+      notWarm_.insert(target);
+    }
+  }
+}
+
+void PhaseDesk::Note(const PhaseRecord& aRecord)
+{
+  if (aRecord.phase == TargetPhase::kWarm) {
+    notWarm_.erase(aRecord.target);
+  } else {
+    notWarm_.insert(aRecord.target);
+  }
+}
+
+bool PhaseDesk::IsWarm(const TargetId& aTarget) const
+{
+  return phases_.Get(aTarget).phase == TargetPhase::kWarm;
+}
+
+TargetStateMessage PhaseDesk::Message(const std::vector<PhaseRecord>& aRecords)
+{
+  TargetStateMessage message;
+  for (const PhaseRecord& record : aRecords) {
+    message.targets.push_back({ record.target, record.epoch, record.phase });
+  }
+  return message;
+}
+
+void PhaseDesk::OnReady(LinkId aLink)
+{
+  std::vector<PhaseRecord> records = phases_.All();
+  // Cold in epoch zero is what everybody assumes anyway.
+  records.erase(std::remove_if(records.begin(),
+                               records.end(),
+                               [](const PhaseRecord& aRecord) {
+                                 return aRecord.epoch == Epoch(0) &&
+                                        aRecord.phase == TargetPhase::kCold;
+                               }),
+                records.end());
+  for (std::size_t i = 0; i < records.size(); i += kMaxEntries) {
+    const std::size_t end = std::min(records.size(), i + kMaxEntries);
+    links_.Send(
+      aLink,
+      Message({ records.begin() + static_cast<std::ptrdiff_t>(i),
+                records.begin() + static_cast<std::ptrdiff_t>(end) }));
+  }
+}
+
+void PhaseDesk::Tell(const std::vector<PhaseRecord>& aRecords)
+{
+  if (aRecords.empty()) {
+    return;
+  }
+  const TargetStateMessage message = Message(aRecords);
+  links_.Send(links_.Entries(), message);
+  links_.Send(links_.Controls(), message);
+}
+
+void PhaseDesk::OnReport(const TargetReportMessage& aReport)
+{
+  std::vector<PhaseRecord> changed;
+  for (const TargetReportEntry& entry : aReport.targets) {
+    if (!entry.looksCold) {
+      if (entry.answered > 0) {
+        phases_.OnGoodAnswer(entry.target, entry.instance);
+      }
+      continue;
+    }
+    // A sign seen before the current epoch was known is part of it.
+    if (entry.epoch < phases_.Get(entry.target).epoch) {
+      continue;
+    }
+    if (const auto record = phases_.OnColdSign(entry.target, entry.instance)) {
+      Note(*record);
+      changed.push_back(*record);
+    }
+  }
+  Tell(changed);
+}
+
+void PhaseDesk::OnState(LinkId aFrom,
+                        const TargetStateMessage& aMessage,
+                        bool aForward)
+{
+  TargetStateMessage changed;
+  for (const TargetStateEntry& entry : aMessage.targets) {
+    const PhaseRecord record{ entry.target, entry.epoch, entry.phase };
+    if (phases_.Merge(record)) {
+      Note(record);
+      changed.targets.push_back(entry);
+    }
+  }
+  if (changed.targets.empty()) {
+    return;
+  }
+  links_.Send(links_.Entries(), changed);
+  if (aForward) {
+    std::vector<LinkId> others = links_.Controls();
+    others.erase(std::remove(others.begin(), others.end(), aFrom),
+                 others.end());
+    links_.Send(others, changed);
+  }
+}
+
+void PhaseDesk::OnTimer()
+{
+  std::vector<PhaseRecord> changed;
+  for (const TargetId& target : notWarm_) {
+    const TargetIndex::Entry* entry = index_.Find(target);
+    if (entry == nullptr || !holds_(entry->shard)) {
+      continue;
+    }
+    if (const auto record = phases_.Advance(target)) {
+      changed.push_back(*record);
+    }
+  }
+  for (const PhaseRecord& record : changed) {
+    Note(record);
+  }
+  Tell(changed);
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/control/PhaseDesk.h
@@ -0,0 +1,59 @@
+#ifndef CONTROL_PHASEDESK_H
+#define CONTROL_PHASEDESK_H
+
+#include "control/PeerLinks.h"
+#include "control/TargetIndex.h"
+#include "decision/PhaseTable.h"
+#include "wire/TargetReportMessage.h"
+#include "wire/TargetStateMessage.h"
+
+#include <functional>
+#include <set>
+#include <vector>
+
+namespace lacewing {
+
+/**
+ * Keeps the phases of all targets and sends each change to peers and entryd
+ * at once. Advances the targets of the shards whose lease is held here.
+ */
+class PhaseDesk
+{
+public:
+  using LeaseCheck = std::function<bool(ShardId)>;
+
+  PhaseDesk(const Clock& aClock,
+            const TargetIndex& aIndex,
+            PeerLinks& aLinks,
+            LeaseCheck aHolds);
+
+  /** The index changed. */
+  void OnConfig();
+  /** A peer or an entryd said hello; it gets every phase that is known. */
+  void OnReady(LinkId aLink);
+  void OnReport(const TargetReportMessage& aReport);
+  /** aForward tells whether other controlds may not have heard of it. */
+  void OnState(LinkId aFrom, const TargetStateMessage& aMessage, bool aForward);
+  /** Call each 100 ms. */
+  void OnTimer();
+
+  const PhaseTable& Phases() const { return phases_; }
+  bool IsWarm(const TargetId& aTarget) const;
+
+private:
+  void Note(const PhaseRecord& aRecord);
+  static TargetStateMessage Message(const std::vector<PhaseRecord>& aRecords);
+  void Tell(const std::vector<PhaseRecord>& aRecords);
+
+  const TargetIndex& index_;
+  PeerLinks& links_;
+  LeaseCheck holds_;
+  PhaseTable phases_;
+  std::set<TargetId> known_;
+  /** Targets that are not warm, so that timers look only at these. */
+  std::set<TargetId> notWarm_;
+};
+
+} // namespace lacewing
+
+#endif // CONTROL_PHASEDESK_H
--- a/src/net/MessageClient.cpp
+++ b/src/net/MessageClient.cpp
@@ -125,21 +125,21 @@
     handlers.received(std::move(message).value());
   }
 
-  bool Send(const nlohmann::json& aMessage)
+  bool Send(const std::string& aFrame)
   {
     const auto connection = Find();
     if (!open || !connection) {
       return false;
     }
-    const std::string frame = EncodeFrame(aMessage);
-    if (frame.size() > kMaxMessageBytes) {
+    if (aFrame.size() > kMaxMessageBytes) {
       return false;
     }
-    if (connection->get_buffered_amount() + frame.size() > kMaxSendQueueBytes) {
+    if (connection->get_buffered_amount() + aFrame.size() >
+        kMaxSendQueueBytes) {
       Drop();
       return false;
     }
-    return !connection->send(frame, websocketpp::frame::opcode::binary);
+    return !connection->send(aFrame, websocketpp::frame::opcode::binary);
   }
 
   /** Closes an open connection; its close is reported later. */
@@ -205,7 +205,12 @@
 
 bool MessageClient::Send(const nlohmann::json& aMessage)
 {
-  return impl_->Send(aMessage);
+  return impl_->Send(EncodeFrame(aMessage));
+}
+
+bool MessageClient::SendFrame(const std::string& aFrame)
+{
+  return impl_->Send(aFrame);
 }
 
 } // namespace lacewing
--- a/src/net/MessageClient.h
+++ b/src/net/MessageClient.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 
 namespace lacewing {
 
@@ -44,6 +45,8 @@
 
   /** Returns false, and drops the message, while not connected. */
   bool Send(const nlohmann::json& aMessage);
+  /** As Send, for a message that EncodeFrame has encoded. */
+  bool SendFrame(const std::string& aFrame);
 
 private:
   struct Impl;
--- a/src/net/MessageServer.cpp
+++ b/src/net/MessageServer.cpp
@@ -140,20 +140,20 @@
     Disconnect(aConnection);
   }
 
-  void Send(ConnectionId aConnection, const nlohmann::json& aMessage)
+  void Send(ConnectionId aConnection, const std::string& aFrame)
   {
     const auto entry = connections.find(aConnection);
     if (entry == connections.end()) {
       return;
     }
     const auto connection = Find(entry->second);
-    const std::string frame = EncodeFrame(aMessage);
-    if (frame.size() > kMaxMessageBytes ||
-        connection->get_buffered_amount() + frame.size() > kMaxSendQueueBytes) {
+    if (aFrame.size() > kMaxMessageBytes ||
+        connection->get_buffered_amount() + aFrame.size() >
+          kMaxSendQueueBytes) {
       Disconnect(aConnection);
       return;
     }
-    connection->send(frame, websocketpp::frame::opcode::binary);
+    connection->send(aFrame, websocketpp::frame::opcode::binary);
   }
 
   void Disconnect(ConnectionId aConnection)
@@ -225,7 +225,13 @@
 void MessageServer::Send(ConnectionId aConnection,
                          const nlohmann::json& aMessage)
 {
-  impl_->Send(aConnection, aMessage);
+  impl_->Send(aConnection, EncodeFrame(aMessage));
+}
+
+void MessageServer::SendFrame(ConnectionId aConnection,
+                              const std::string& aFrame)
+{
+  impl_->Send(aConnection, aFrame);
 }
 
 void MessageServer::Disconnect(ConnectionId aConnection)
--- a/src/net/MessageServer.h
+++ b/src/net/MessageServer.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace lacewing {
 
@@ -47,6 +48,9 @@
    */
   void Send(ConnectionId aConnection, const nlohmann::json& aMessage);
 
+  /** As Send, for a message that EncodeFrame has encoded. */
+  void SendFrame(ConnectionId aConnection, const std::string& aFrame);
+
   void Disconnect(ConnectionId aConnection);
 
 private:
--- a/src/wire/HelloMessage.h
+++ b/src/wire/HelloMessage.h
@@ -23,6 +23,8 @@
   std::string deployment;
   HostId host;
   ZoneId zone;
+  /** Where peers reach the sender, without a port; empty for entryd. */
+  std::string address;
   Incarnation incarnation;
   /** Version of the configuration in force at the sender. */
   ConfigVersion version;
@@ -34,6 +36,7 @@
       WireMember{ "deployment", &HelloMessage::deployment },
       WireMember{ "host", &HelloMessage::host },
       WireMember{ "zone", &HelloMessage::zone },
+      WireMember{ "address", &HelloMessage::address },
       WireMember{ "incarnation", &HelloMessage::incarnation },
       WireMember{ "version", &HelloMessage::version });
   }
