--- /dev/null
+++ b/src/control/ControlState.cpp
@@ -0,0 +1,93 @@
+#include "control/ControlState.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+/** Later runs get higher numbers as long as the host's date goes forward. */
+Incarnation MakeIncarnation()
+{
+  return Incarnation(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count()));
+}
+
+} // namespace
+
+Outcome<std::unique_ptr<ControlState>> ControlState::Make(
+  asio::io_context& aContext,
+  const Clock& aClock,
+  const ControlSettings& aSettings,
+  const ControlTerms& aTerms,
+  PeerLinksHandlers aHandlers,
+  std::function<void()> aConfigChanged,
+  std::function<void(const LeaseStateEntry&)> aLeaseChanged)
+{
+  BOOST_OUTCOME_TRY(auto links,
+                    PeerLinks::Make(aContext,
+                                    aClock,
+                                    aSettings.host,
+                                    aSettings.messages,
+                                    std::move(aHandlers)));
+  return std::unique_ptr<ControlState>(
+    new ControlState(aContext,
+                     aClock,
+                     aSettings,
+                     aTerms,
+                     MakeIncarnation(),
+                     std::move(links),
+                     std::move(aConfigChanged),
+                     std::move(aLeaseChanged)));
+}
+
+ControlState::ControlState(
+  asio::io_context& aContext,
+  const Clock& aClock,
+  const ControlSettings& aSettings,
+  const ControlTerms& aTerms,
+  Incarnation aIncarnation,
+  std::unique_ptr<PeerLinks> aLinks,
+  std::function<void()> aConfigChanged,
+  std::function<void(const LeaseStateEntry&)> aLeaseChanged)
+  : settings(aSettings)
+  , terms(aTerms)
+  , incarnation(aIncarnation)
+  , members(aClock,
+            aTerms,
+            { aSettings.host,
+              aSettings.messages.address,
+              aSettings.zone,
+              aIncarnation,
+              MemberState::kLive })
+  , book(std::move(aConfigChanged))
+  , store(aContext, { aSettings.platform })
+  , links(std::move(aLinks))
+  , follower(aContext, store, book, aTerms, std::random_device()())
+  , leases(aClock,
+           store,
+           aSettings.host,
+           aIncarnation,
+           leaseDirectory,
+           std::move(aLeaseChanged))
+  , memberExchange(aClock, members, *links)
+  , configExchange(aClock, aTerms, book, *links)
+  , phaseDesk(aClock,
+              index,
+              *links,
+              [this](ShardId aShard) { return leases.Holds(aShard); })
+  , grantDesk(aClock,
+              aSettings.host,
+              index,
+              phaseDesk.Phases(),
+              leaseDirectory,
+              *links,
+              [this](ShardId aShard) { return leases.Holds(aShard); })
+{
+}
+
+} // namespace lacewing
--- a/src/control/PeerLinks.cpp
+++ b/src/control/PeerLinks.cpp
@@ -23,11 +23,12 @@
 public:
   Impl(asio::io_context& aContext,
        const Clock& aClock,
+       const HostId& aSelf,
        PeerLinksHandlers aHandlers)
     : context_(aContext)
     , clock_(aClock)
     , handlers_(std::move(aHandlers))
-    , self_(handlers_.hello().host)
+    , self_(aSelf)
   {
   }
 
@@ -362,10 +363,12 @@
 
 Outcome<std::unique_ptr<PeerLinks>> PeerLinks::Make(asio::io_context& aContext,
                                                     const Clock& aClock,
+                                                    const HostId& aSelf,
                                                     const Endpoint& aEndpoint,
                                                     PeerLinksHandlers aHandlers)
 {
-  auto impl = std::make_unique<Impl>(aContext, aClock, std::move(aHandlers));
+  auto impl =
+    std::make_unique<Impl>(aContext, aClock, aSelf, std::move(aHandlers));
   BOOST_OUTCOME_TRY(impl->Listen(aEndpoint));
   return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(impl)));
 }
--- a/src/control/PeerLinks.h
+++ b/src/control/PeerLinks.h
@@ -31,6 +31,7 @@
 public:
   static Outcome<std::unique_ptr<PeerLinks>> Make(asio::io_context& aContext,
                                                   const Clock& aClock,
+                                                  const HostId& aSelf,
                                                   const Endpoint& aEndpoint,
                                                   PeerLinksHandlers aHandlers);
   ~PeerLinks();
--- a/tests/support/TestPlatform.h
+++ b/tests/support/TestPlatform.h
@@ -41,11 +41,13 @@
 
   void SetFaults(const std::string& aJson) { Call("PUT", "/faults", aJson); }
 
-  void AddHost(const std::string& aId, const std::string& aZone)
+  void AddHost(const std::string& aId,
+               const std::string& aZone,
+               const std::string& aAddress = "127.0.0.1")
   {
     Call("PUT",
          "/hosts/" + aId,
-         R"({"address":"127.0.0.1","zone":")" + aZone + "\"}");
+         R"({"address":")" + aAddress + R"(","zone":")" + aZone + "\"}");
   }
 
   void Put(const std::string& aKey, const std::string& aBody)
