Connect entryd to controld

Cause: configuration, phases and grants come from controld. Change: ControldLink greets, decodes and dispatches frames through a table; ConfigReceiver puts only complete, valid and newer sets in force; GrantBook splits a host's grants over the workers and moves a slot only after the first worker has confirmed to be without it; ReportCollector adds up observations.

--- a/src/entry/EntryControl.h
+++ b/src/entry/EntryControl.h
@@ -1,13 +1,19 @@
 #ifndef ENTRY_ENTRYCONTROL_H
 #define ENTRY_ENTRYCONTROL_H
 
-#include "config/Configuration.h"
+#include "entry/ConfigReceiver.h"
+#include "entry/ControldEvents.h"
+#include "entry/ControldLink.h"
 #include "entry/EntrySettings.h"
 #include "entry/EntryState.h"
+#include "entry/GrantBook.h"
 #include "entry/KnownPhases.h"
+#include "entry/ReportCollector.h"
 #include "entry/SnapshotBuilder.h"
 #include "entry/TrafficWorker.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <memory>
 #include <vector>
 
@@ -17,12 +23,16 @@
  * Owns entryd's control state: configuration, phases and grants. Used from
  * the control thread only; reaches the workers by messages.
  */
-class EntryControl
+class EntryControl final : public ControldEvents
 {
 public:
   using Workers = std::vector<std::unique_ptr<TrafficWorker>>;
 
-  EntryControl(const EntrySettings& aSettings, const Workers& aWorkers);
+  EntryControl(asio::io_context& aContext,
+               const Clock& aClock,
+               const EntrySettings& aSettings,
+               Incarnation aIncarnation,
+               const Workers& aWorkers);
 
   void OnReport(WorkerReport aReport);
 
@@ -32,19 +42,36 @@
   void Stop();
   /** Whether every worker has answered its last request. */
   bool Idle() const;
+  /** Whether no grant is held any more. */
+  bool GrantsReturned() const { return grants_.empty(); }
   /** The longest deadline of any service. */
   std::chrono::milliseconds LongestDeadline() const;
 
   const EntryState& State() const { return state_; }
 
+  void OnConnected() override;
+  void OnDisconnected() override;
+  void OnConfig(const ConfigMessage& aPart) override;
+  void OnTargetState(const TargetStateMessage& aMessage) override;
+  void OnGrant(const GrantMessage& aMessage) override;
+
 private:
-  void Publish();
+  void Publish(const Configuration& aConfiguration);
+  void PostGrants();
+  void SendReports();
+  void ScheduleTick();
+  void Tick();
 
   const Workers& workers_;
   SnapshotBuilder builder_;
   KnownPhases phases_;
-  std::shared_ptr<const Configuration> configuration_;
+  ConfigReceiver configs_;
+  ReportCollector reports_;
+  GrantBook grants_;
   EntryState state_;
+  asio::steady_timer tick_;
+  /** Empty without a controld. */
+  std::unique_ptr<ControldLink> link_;
 };
 
 } // namespace lacewing
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -15,6 +15,18 @@
 
 namespace lacewing {
 
+namespace {
+
+/** The start time; successive runs on one host get growing numbers. */
+Incarnation MakeIncarnation()
+{
+  const auto time = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
+}
+
+} // namespace
+
 struct EntryServer::Impl
 {
   explicit Impl(const EntrySettings& aSettings)
@@ -26,6 +38,7 @@
   Outcome<void> AddAdmin();
 
   EntrySettings settings;
+  Incarnation incarnation = MakeIncarnation();
   asio::io_context context{ 1 };
   asio::signal_set signals{ context };
   EntryControl::Workers workers;
@@ -44,11 +57,9 @@
   }
   ForwarderOptions& forwarder = options.forwarder;
   forwarder.worker = aId;
-  // The start time separates the ids of successive runs on one host.
-  forwarder.requestIdPrefix =
-    settings.host.value() + "-" +
-    std::to_string(aClock.Now().time_since_epoch().count()) + "-" +
-    std::to_string(aId.value()) + "-";
+  forwarder.requestIdPrefix = settings.host.value() + "-" +
+                              std::to_string(incarnation.value()) + "-" +
+                              std::to_string(aId.value()) + "-";
   forwarder.limits = settings.limits;
   forwarder.limits.maxBuffered =
     ByteCount(settings.limits.maxBuffered.value() / settings.workers);
@@ -93,7 +104,8 @@
   for (unsigned worker = 0; worker < aSettings.workers; ++worker) {
     BOOST_OUTCOME_TRY(impl->AddWorker(aClock, WorkerId(worker)));
   }
-  impl->control = std::make_unique<EntryControl>(impl->settings, impl->workers);
+  impl->control = std::make_unique<EntryControl>(
+    impl->context, aClock, impl->settings, impl->incarnation, impl->workers);
   BOOST_OUTCOME_TRY(impl->AddAdmin());
   impl->stop = std::make_unique<GracefulStop>(
     impl->context, *impl->control, impl->settings.drainDelay);
--- a/src/entry/GracefulStop.cpp
+++ b/src/entry/GracefulStop.cpp
@@ -2,6 +2,8 @@
 
 #include "core/Log.h"
 
+#include <algorithm>
+
 namespace lacewing {
 
 namespace {
@@ -10,6 +12,9 @@
 // without delay.
 constexpr std::chrono::milliseconds kPollPeriod(50);
 
+// Idle grants go back after 300 ms, with the control thread's tick.
+constexpr std::chrono::milliseconds kGrantReserve(1000);
+
 // Answers that were made at the deadline still have to be written.
 constexpr std::chrono::milliseconds kWriteReserve(2000);
 
@@ -51,8 +56,12 @@
 
 void GracefulStop::Poll()
 {
-  allAnswered_ = control_.Idle();
-  if (allAnswered_ || std::chrono::steady_clock::now() >= giveUp_) {
+  const auto now = std::chrono::steady_clock::now();
+  if (!allAnswered_ && control_.Idle()) {
+    allAnswered_ = true;
+    giveUp_ = std::min(giveUp_, now + kGrantReserve);
+  }
+  if ((allAnswered_ && control_.GrantsReturned()) || now >= giveUp_) {
     Log(allAnswered_ ? LogLevel::kInfo : LogLevel::kWarning,
         "stop-ended",
         { { "all_answered", allAnswered_ ? "yes" : "no" } });
--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -121,8 +121,10 @@
   Execute(engine_->OnSnapshot(std::move(aSnapshot)));
 }
 
-void RequestForwarder::SetGrants(const std::vector<HeldGrant>& aGrants)
+void RequestForwarder::SetGrants(GrantRound aRound,
+                                 const std::vector<HeldGrant>& aGrants)
 {
+  grantRound_ = aRound;
   Execute(engine_->OnGrants(aGrants));
 }
 
@@ -143,6 +145,7 @@
   report.buffered = budget_->Used();
   report.version = version_;
   report.callersGone = callersGone_;
+  report.grantRound = grantRound_;
   report.stopped = stopped_;
   report.answers = answers_;
   report.latency = latency_;
--- a/src/entry/RequestForwarder.h
+++ b/src/entry/RequestForwarder.h
@@ -36,7 +36,7 @@
 
   void Handle(HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder);
   void SetSnapshot(std::shared_ptr<const RoutingSnapshot> aSnapshot);
-  void SetGrants(const std::vector<HeldGrant>& aGrants);
+  void SetGrants(GrantRound aRound, const std::vector<HeldGrant>& aGrants);
   /** Every answer from now on asks its caller to close the connection. */
   void CloseConnections() { closeConnections_ = true; }
   /** Refuses new requests; those in progress go on. */
@@ -80,6 +80,7 @@
   std::unordered_map<AttemptId, RequestId> attempts_;
   RequestId lastId_;
   ConfigVersion version_;
+  GrantRound grantRound_;
   bool ready_ = false;
   bool closeConnections_ = false;
   bool stopped_ = false;
--- a/src/entry/SnapshotBuilder.cpp
+++ b/src/entry/SnapshotBuilder.cpp
@@ -1,16 +1,14 @@
 #include "entry/SnapshotBuilder.h"
 
+#include "decision/SubsetSelector.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace lacewing {
 
 namespace {
 
-// Design section 6: a fifth of a target's connections is reserved for the
-// replacement of hosts.
-constexpr std::uint32_t kUsableFifths = 4;
-constexpr std::uint32_t kFifths = 5;
-
 bool SameTarget(const TargetRoute& aLeft, const TargetRoute& aRight)
 {
   return aLeft.id == aRight.id && aLeft.endpoint == aRight.endpoint &&
@@ -20,7 +18,7 @@
 
 bool SameRoute(const ServiceRoute& aLeft, const ServiceRoute& aRight)
 {
-  return aLeft.id == aRight.id && aLeft.slots == aRight.slots &&
+  return aLeft.slots == aRight.slots &&
          aLeft.connections == aRight.connections &&
          aLeft.idempotentMethods == aRight.idempotentMethods &&
          aLeft.deadline == aRight.deadline &&
@@ -31,78 +29,104 @@
                     SameTarget);
 }
 
-// A target whose zone is not in the configuration takes no work.
-bool ZoneTakesWork(const Configuration& aConfiguration, const ZoneId& aZone)
+} // namespace
+
+SnapshotBuilder::SnapshotBuilder(HostId aOwnHost,
+                                 ZoneId aOwnZone,
+                                 unsigned aWorkers)
+  : ownHost_(std::move(aOwnHost))
+  , ownZone_(std::move(aOwnZone))
+  , workers_(aWorkers)
 {
-  const auto zone = aConfiguration.zones.find(aZone);
-  return zone != aConfiguration.zones.end() &&
-         TakesNewWork(zone->second.lifecycle);
 }
 
-} // namespace
-
 std::shared_ptr<const RoutingSnapshot> SnapshotBuilder::Build(
   const Configuration& aConfiguration,
   const KnownPhases& aPhases)
 {
+  TakeZonesAndHosts(aConfiguration);
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->version = aConfiguration.version;
   snapshot->ownZone = ownZone_;
+  std::map<ServiceId, Built> before = std::exchange(built_, {});
   for (const auto& [id, service] : aConfiguration.services) {
-    auto route = BuildRoute(*service, aConfiguration, aPhases);
-    if (last_) {
-      const auto before = last_->services.find(id);
-      if (before != last_->services.end() &&
-          SameRoute(*before->second, *route)) {
-        route = before->second;
-      }
+    Built built = std::move(before[id]);
+    if (built.config != service) {
+      built.config = service;
+      built.subset = SelectTargets(*service);
+    }
+    auto route = MakeRoute(built, aPhases);
+    if (!built.route || !SameRoute(*built.route, *route)) {
+      built.route = std::move(route);
     }
-    snapshot->services.emplace(id, std::move(route));
+    snapshot->services.emplace(id, built.route);
+    built_.emplace(id, std::move(built));
   }
-  last_ = snapshot;
   return snapshot;
 }
 
-std::shared_ptr<const ServiceRoute> SnapshotBuilder::BuildRoute(
-  const ServiceConfig& aService,
-  const Configuration& aConfiguration,
-  const KnownPhases& aPhases) const
+void SnapshotBuilder::TakeZonesAndHosts(const Configuration& aConfiguration)
 {
-  auto route = std::make_shared<ServiceRoute>();
-  route->id = aService.id;
-  route->slots = aService.slots;
-  route->connections = ConnectionsPerWorker(aService, aConfiguration);
-  route->idempotentMethods = aService.idempotentMethods;
-  route->deadline = aService.deadline;
+  // A target whose zone is not in the configuration takes no work.
+  std::vector<ZoneId> zones;
+  for (const auto& [id, zone] : aConfiguration.zones) {
+    if (TakesNewWork(zone.lifecycle)) {
+      zones.push_back(id);
+    }
+  }
+  // A host in an unserved zone still serves its callers, so only its own
+  // state decides whether it takes a share of the connections.
+  std::vector<HostId> hosts;
+  for (const auto& [id, host] : aConfiguration.hosts) {
+    if (TakesNewWork(host.lifecycle)) {
+      hosts.push_back(id);
+    }
+  }
+  if (zones != zones_ || hosts != hosts_) {
+    zones_ = std::move(zones);
+    hosts_ = std::move(hosts);
+    for (auto& [id, built] : built_) {
+      built.config = nullptr;
+    }
+  }
+}
+
+ServiceSubset SnapshotBuilder::SelectTargets(
+  const ServiceConfig& aService) const
+{
+  std::vector<TargetRoute> usable;
   for (const TargetConfig& target : aService.targets) {
-    if (!TakesNewWork(target.lifecycle) ||
-        !ZoneTakesWork(aConfiguration, target.zone)) {
-      continue;
+    if (TakesNewWork(target.lifecycle) &&
+        std::binary_search(zones_.begin(), zones_.end(), target.zone)) {
+      TargetRoute route;
+      route.id = target.id;
+      route.endpoint = target.endpoint;
+      route.zone = target.zone;
+      usable.push_back(std::move(route));
     }
-    const TargetStatus status = aPhases.Find(target.id);
-    route->targets.push_back(
-      { target.id, target.endpoint, target.zone, status.phase, status.epoch });
   }
-  std::sort(route->targets.begin(),
-            route->targets.end(),
-            [](const TargetRoute& aLeft, const TargetRoute& aRight) {
-              return aLeft.id < aRight.id;
-            });
-  return route;
+  return SubsetSelector(ownHost_, hosts_)
+    .Select(aService.id, usable, aService.connections);
 }
 
-ConnectionCount SnapshotBuilder::ConnectionsPerWorker(
-  const ServiceConfig& aService,
-  const Configuration& aConfiguration) const
+std::shared_ptr<const ServiceRoute> SnapshotBuilder::MakeRoute(
+  const Built& aBuilt,
+  const KnownPhases& aPhases) const
 {
-  std::uint32_t hosts = 0;
-  for (const auto& [id, host] : aConfiguration.hosts) {
-    hosts += host.lifecycle == Lifecycle::kOut ? 0 : 1;
+  auto route = std::make_shared<ServiceRoute>();
+  route->id = aBuilt.config->id;
+  route->slots = aBuilt.config->slots;
+  route->connections =
+    ConnectionCount(std::max(aBuilt.subset.connections.value() / workers_, 1U));
+  route->idempotentMethods = aBuilt.config->idempotentMethods;
+  route->deadline = aBuilt.config->deadline;
+  route->targets = aBuilt.subset.targets;
+  for (TargetRoute& target : route->targets) {
+    const TargetStatus status = aPhases.Find(target.id);
+    target.phase = status.phase;
+    target.epoch = status.epoch;
   }
-  const std::uint32_t usable =
-    aService.connections.value() * kUsableFifths / kFifths;
-  return ConnectionCount(
-    std::max(usable / (std::max(hosts, 1U) * workers_), 1U));
+  return route;
 }
 
 } // namespace lacewing
--- a/src/entry/SnapshotBuilder.h
+++ b/src/entry/SnapshotBuilder.h
@@ -3,11 +3,13 @@
 
 #include "config/Configuration.h"
 #include "decision/RoutingSnapshot.h"
+#include "decision/ServiceSubset.h"
 #include "entry/KnownPhases.h"
 #include "lacewing/HostId.h"
 
+#include <map>
 #include <memory>
-#include <set>
+#include <vector>
 
 namespace lacewing {
 
@@ -19,28 +21,33 @@
 class SnapshotBuilder
 {
 public:
-  SnapshotBuilder(ZoneId aOwnZone, unsigned aWorkers)
-    : ownZone_(std::move(aOwnZone))
-    , workers_(aWorkers)
-  {
-  }
+  SnapshotBuilder(HostId aOwnHost, ZoneId aOwnZone, unsigned aWorkers);
 
   std::shared_ptr<const RoutingSnapshot> Build(
     const Configuration& aConfiguration,
     const KnownPhases& aPhases);
 
 private:
-  std::shared_ptr<const ServiceRoute> BuildRoute(
-    const ServiceConfig& aService,
-    const Configuration& aConfiguration,
+  /** What was made of a service, kept until its configuration changes. */
+  struct Built
+  {
+    std::shared_ptr<const ServiceConfig> config;
+    ServiceSubset subset;
+    std::shared_ptr<const ServiceRoute> route;
+  };
+
+  void TakeZonesAndHosts(const Configuration& aConfiguration);
+  ServiceSubset SelectTargets(const ServiceConfig& aService) const;
+  std::shared_ptr<const ServiceRoute> MakeRoute(
+    const Built& aBuilt,
     const KnownPhases& aPhases) const;
-  ConnectionCount ConnectionsPerWorker(
-    const ServiceConfig& aService,
-    const Configuration& aConfiguration) const;
 
+  HostId ownHost_;
   ZoneId ownZone_;
   unsigned workers_;
-  std::shared_ptr<const RoutingSnapshot> last_;
+  std::vector<ZoneId> zones_;
+  std::vector<HostId> hosts_;
+  std::map<ServiceId, Built> built_;
 };
 
 } // namespace lacewing
--- a/src/entry/TrafficWorker.cpp
+++ b/src/entry/TrafficWorker.cpp
@@ -118,11 +118,13 @@
              });
 }
 
-void TrafficWorker::PostGrants(std::vector<HeldGrant> aGrants)
+void TrafficWorker::PostGrants(GrantRound aRound,
+                               std::vector<HeldGrant> aGrants)
 {
-  asio::post(impl_->context, [impl = impl_.get(), grants = std::move(aGrants)] {
-    impl->forwarder->SetGrants(grants);
-  });
+  asio::post(impl_->context,
+             [impl = impl_.get(), aRound, grants = std::move(aGrants)] {
+               impl->forwarder->SetGrants(aRound, grants);
+             });
 }
 
 void TrafficWorker::PostDrain()
--- a/src/entry/TrafficWorker.h
+++ b/src/entry/TrafficWorker.h
@@ -40,7 +40,7 @@
   std::uint16_t Port() const;
 
   void PostSnapshot(std::shared_ptr<const RoutingSnapshot> aSnapshot);
-  void PostGrants(std::vector<HeldGrant> aGrants);
+  void PostGrants(GrantRound aRound, std::vector<HeldGrant> aGrants);
   /** Asks callers to leave their connections. */
   void PostDrain();
   /** Stops listening and refuses new requests. */
--- a/src/entry/WorkerReport.h
+++ b/src/entry/WorkerReport.h
@@ -3,6 +3,7 @@
 
 #include "decision/TargetObservation.h"
 #include "entry/AnswerKey.h"
+#include "entry/GrantRound.h"
 #include "entry/WorkerId.h"
 #include "lacewing/ByteCount.h"
 #include "lacewing/Clock.h"
@@ -23,6 +24,8 @@
   TimePoint taken;
   std::vector<TargetObservation> observations;
   std::size_t openRequests = 0;
+  /** The last list of grants that the worker took over. */
+  GrantRound grantRound;
   /** The worker refuses new requests. */
   bool stopped = false;
   ByteCount buffered;
--- a/tests/support/TestEntry.h
+++ b/tests/support/TestEntry.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SUPPORT_TESTENTRY_H
 #define TESTS_SUPPORT_TESTENTRY_H
 
+#include "core/Log.h"
 #include "core/MonotonicClock.h"
 #include "entry/EntryServer.h"
 #include "net/HttpClient.h"
@@ -47,6 +48,7 @@
 public:
   explicit TestEntry(const EntrySettings& aSettings)
   {
+    StartLogging(LogLevel::kError);
     auto server = EntryServer::Make(clock_, aSettings);
     REQUIRE(server);
     server_ = std::move(server).value();
