--- a/src/core/JsonProperties.h
+++ b/src/core/JsonProperties.h
@@ -70,6 +70,16 @@
   return true;
 }
 
+inline bool ReadJson(const nlohmann::json& aJson, Endpoint& aValue)
+{
+  std::string text;
+  if (!ReadJson(aJson, text)) {
+    return false;
+  }
+  Outcome<Endpoint> endpoint = Endpoint::Parse(text);
+  return endpoint && (aValue = std::move(endpoint).value(), true);
+}
+
 template<class Tag>
 bool ReadJson(const nlohmann::json& aJson, StrongString<Tag>& aValue)
 {
@@ -87,6 +97,11 @@
   return aValue;
 }
 
+inline nlohmann::json WriteJson(const Endpoint& aValue)
+{
+  return aValue.ToString();
+}
+
 inline nlohmann::json WriteJson(const Duration& aValue)
 {
   return std::chrono::duration<double, std::milli>(aValue).count();
--- a/src/core/JsonProperty.h
+++ b/src/core/JsonProperty.h
@@ -4,7 +4,8 @@
 #include "lacewing/ByteCount.h"
 #include "lacewing/Clock.h"
 #include "lacewing/ConnectionCount.h"
-#include "lacewing/InstanceId.h"
+#include "lacewing/Endpoint.h"
+#include "lacewing/ServiceId.h"
 #include "lacewing/SlotCount.h"
 #include "lacewing/TargetId.h"
 #include "lacewing/ZoneId.h"
@@ -28,7 +29,8 @@
                               SlotCount Owner::*,
                               ConnectionCount Owner::*,
                               ByteCount Owner::*,
-                              InstanceId Owner::*,
+                              Endpoint Owner::*,
+                              ServiceId Owner::*,
                               TargetId Owner::*,
                               ZoneId Owner::*>;
 
