Send each call once on kept connections too

Cause: libcurl repeats a request by itself when a kept connection closes before an answer byte. A fresh connection for each call without a body kept it from that, so every GET to a target cost a new connection (about 1 ms at today's targets), and idempotent calls were repeated behind the engine's back, outside of retry budget and grants. Change: a pre-request callback refuses the second sending on any connection; bodies keep the seek callback that refuses as well. The request target is passed verbatim. HttpCall::reserve lets the entry charge answers to its memory budget while they arrive.

--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -188,6 +188,13 @@
     std::chrono::ceil<std::chrono::milliseconds>(remaining) + kTimeoutReserve;
   call.connectTimeout = kConnectTimeout;
   call.maxResponseBody = options_.limits.maxAnswer;
+  call.reserve = [charge = pending.charge,
+                  spare =
+                    options_.limits.answerReserve](ByteCount aBytes) mutable {
+    const ByteCount own = std::min(spare, aBytes);
+    spare -= own;
+    return charge->Grow(aBytes - own);
+  };
   // Only the engine repeats a request: it knows budgets and grants.
   call.idempotent = false;
   pending.attempt = aAction.attempt;
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -25,14 +25,16 @@
   response_ = HttpResponse();
   response_.status = 0;
   bodyOffset_ = 0;
+  sendBegun_ = false;
   tooLarge_ = false;
 
-  const std::string url = "http://" + call_.endpoint.ToString() + call_.target;
+  const std::string url = "http://" + call_.endpoint.ToString() + "/";
   curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+  // Keeps libcurl from rewriting the path.
+  curl_easy_setopt(handle_, CURLOPT_REQUEST_TARGET, call_.target.c_str());
   curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(handle_, CURLOPT_HTTP09_ALLOWED, 0L);
-  curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(handle_, CURLOPT_PROXY, "");
   curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
@@ -71,10 +73,9 @@
   } else if (call_.method == "HEAD") {
     curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
   }
-  if (!call_.idempotent && !hasBody) {
-    // Without a body there is nothing to rewind, so only a new connection
-    // keeps libcurl from sending the request twice.
-    curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+  if (!call_.idempotent) {
+    curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &CurlEasy::BeforeSend);
+    curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
   }
   curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
 }
@@ -155,7 +156,8 @@
 int CurlEasy::SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin)
 {
   auto& self = *static_cast<CurlEasy*>(aSelf);
-  // libcurl rewinds to send the request a second time on a new connection.
+  // libcurl rewinds to send the request a second time on a new connection;
+  // BeforeSend refuses that as well.
   if (!self.call_.idempotent || aOrigin != SEEK_SET) {
     return CURL_SEEKFUNC_FAIL;
   }
@@ -163,6 +165,19 @@
   return CURL_SEEKFUNC_OK;
 }
 
+// libcurl 7.88 calls this on every connection right before it sends, also when
+// it repeats a request that a kept connection lost without an answer byte.
+int CurlEasy::BeforeSend(void* aSelf,
+                         char* /* aPeerAddress */,
+                         char* /* aOwnAddress */,
+                         int /* aPeerPort */,
+                         int /* aOwnPort */)
+{
+  auto& self = *static_cast<CurlEasy*>(aSelf);
+  return std::exchange(self.sendBegun_, true) ? CURL_PREREQFUNC_ABORT
+                                              : CURL_PREREQFUNC_OK;
+}
+
 std::size_t CurlEasy::WriteBody(char* aData,
                                 std::size_t aSize,
                                 std::size_t aCount,
@@ -171,7 +186,8 @@
   auto& self = *static_cast<CurlEasy*>(aSelf);
   const std::size_t length = aSize * aCount;
   if (self.response_.body.size() + length >
-      self.call_.maxResponseBody.value()) {
+        self.call_.maxResponseBody.value() ||
+      (self.call_.reserve && !self.call_.reserve(ByteCount(length)))) {
     self.tooLarge_ = true;
     return 0;
   }
--- a/src/net/CurlEasyPriv.h
+++ b/src/net/CurlEasyPriv.h
@@ -38,6 +38,11 @@
                               std::size_t aCount,
                               void* aSelf);
   static int SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin);
+  static int BeforeSend(void* aSelf,
+                        char* aPeerAddress,
+                        char* aOwnAddress,
+                        int aPeerPort,
+                        int aOwnPort);
   static std::size_t WriteBody(char* aData,
                                std::size_t aSize,
                                std::size_t aCount,
@@ -52,6 +57,7 @@
   HttpCall call_;
   HttpResponse response_;
   std::size_t bodyOffset_ = 0;
+  bool sendBegun_ = false;
   bool tooLarge_ = false;
 };
 
--- a/src/net/HttpCall.h
+++ b/src/net/HttpCall.h
@@ -6,6 +6,7 @@
 #include "net/HttpFields.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,11 @@
   std::chrono::milliseconds timeout{ 30000 };
   std::chrono::milliseconds connectTimeout{ 1000 };
   ByteCount maxResponseBody{ 16U << 20U };
+  /**
+   * Asked before further bytes of the answer's body are kept; false ends the
+   * call as kTooLarge. May be null.
+   */
+  std::function<bool(ByteCount)> reserve;
   /** When false the request is put on the wire at most once. */
   bool idempotent = false;
 };
