--- a/src/config/EncodedConfig.h
+++ b/src/config/EncodedConfig.h
@@ -6,7 +6,7 @@
 
 namespace lacewing {
 
-/** The blobs of a whole configuration and the head that names them. */
+/** A head and those of its blobs that have to be written. */
 struct EncodedConfig
 {
   ConfigHead head;
--- a/tests/ConfigCodecTest.cpp
+++ b/tests/ConfigCodecTest.cpp
@@ -7,6 +7,7 @@
 #include "support/ConfigGenerators.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace lacewing;
 
@@ -164,6 +165,30 @@
   CHECK(after.value().configuration->version == ConfigVersion(2));
 }
 
+// Guards against rewriting every object for a change of one, and against an
+// older release dropping the fields that a newer one wrote.
+TEST_CASE("objects that did not change keep their entries")
+{
+  EncodedConfig first = Encode(SmallConfiguration());
+  std::string& zones = first.blobs[ZonesObject()];
+  nlohmann::json newer = nlohmann::json::from_cbor(zones);
+  newer["colour"] = "blue";
+  zones.clear();
+  nlohmann::json::to_cbor(newer, zones);
+  const BlobHash hash = HashOfBlob(zones);
+  first.head.entries[ZonesObject()] = { hash, BlobKey(ZonesObject(), hash) };
+  const auto base = AssembleConfig(first.head, first.blobs, nullptr);
+  REQUIRE(base.has_value());
+
+  Configuration next = *base.value().configuration;
+  next.hosts[HostId("h1")].lifecycle = Lifecycle::kOut;
+  const auto second = EncodeNextConfig(next, base.value(), WriteToken("t2"));
+  REQUIRE(second.has_value());
+  CHECK(second.value().blobs.size() == 1);
+  CHECK(second.value().blobs.count(HostsObject()) == 1);
+  CHECK(second.value().head.entries.at(ZonesObject()).hash == hash);
+}
+
 // Guards against mixing blobs of different versions.
 TEST_CASE("missing, foreign and inconsistent blobs are refused")
 {
@@ -188,12 +213,12 @@
 {
   Configuration unknownZone = SmallConfiguration();
   unknownZone.zones.clear();
-  CHECK(!EncodeConfig(unknownZone, {}, WriteToken("t1")).has_value());
+  CHECK(!EncodeConfig(unknownZone, ConfigHead(), WriteToken("t1")).has_value());
   Configuration badId = SmallConfiguration();
   badId.hosts[HostId("a/b")] = { HostId("a/b"),
                                  ZoneId("bole"),
                                  Lifecycle::kInService };
-  CHECK(!EncodeConfig(badId, {}, WriteToken("t1")).has_value());
+  CHECK(!EncodeConfig(badId, ConfigHead(), WriteToken("t1")).has_value());
 }
 
 // Guards against a head whose list of recent writes grows without limit or
--- a/tests/SheetReaderTest.cpp
+++ b/tests/SheetReaderTest.cpp
@@ -181,7 +181,8 @@
       *rc::gen::element(',', '"', '\n', '\r', ' ', '0', '9', 'x', '\0', '\xff');
     const auto sheet = ReadSheet(altered);
     if (sheet) {
-      RC_ASSERT(EncodeConfig(sheet.value(), {}, WriteToken("t1")).has_value());
+      RC_ASSERT(EncodeConfig(sheet.value(), ConfigHead(), WriteToken("t1"))
+                  .has_value());
     } else {
       RC_ASSERT(!sheet.error().empty());
     }
