Compare callers' records with the targets' logs

Cause: the demo and the failure tests need one judge of doubled, lost and falsely refused requests. Change: lacewing-load check joins records and run logs by request id, per phase and per group of targets, and prints the share of slot time of probes.

--- a/tools/lacewing_load.cpp
+++ b/tools/lacewing_load.cpp
@@ -1,6 +1,7 @@
 #include "core/Log.h"
 #include "load/LoadRun.h"
 #include "load/ResultTable.h"
+#include "load/RunCheck.h"
 #include "load/TomlFile.h"
 
 #include <absl/flags/flag.h>
@@ -36,6 +37,14 @@
           std::nullopt,
           "even, poisson or bursts, in every phase");
 ABSL_FLAG(bool, direct, false, "the entries are targets");
+ABSL_FLAG(std::vector<std::string>,
+          runs,
+          {},
+          "files with /runs of stand-in targets, for check");
+ABSL_FLAG(std::vector<std::string>,
+          stats,
+          {},
+          "files with /stats of stand-in targets, for check");
 ABSL_FLAG(std::string,
           request,
           R"({"service":"registro"})",
@@ -158,6 +167,18 @@
   return 0;
 }
 
+Outcome<int> Check(const std::vector<char*>&)
+{
+  RunCheckInput input;
+  input.result = absl::GetFlag(FLAGS_json);
+  input.records = absl::GetFlag(FLAGS_records);
+  input.runs = absl::GetFlag(FLAGS_runs);
+  input.stats = absl::GetFlag(FLAGS_stats);
+  BOOST_OUTCOME_TRY(const RunCheck check, RunCheck::Make(input));
+  std::cout << check.ToTable();
+  return check.Passed() ? 0 : kWrongAnswers;
+}
+
 struct Command
 {
   std::string_view name;
@@ -167,6 +188,7 @@
 constexpr Command kCommands[] = {
   { "run", &Run },
   { "compare", &Compare },
+  { "check", &Check },
 };
 
 Outcome<int> RunCommand(std::vector<char*> aArguments)
@@ -182,7 +204,7 @@
   }
   return Fail(ErrorKind::kInvalidArgument,
               "there is no command \"" + name + "\"",
-              "write run or compare");
+              "write run, compare or check");
 }
 
 } // namespace
@@ -193,7 +215,8 @@
 {
   absl::SetProgramUsageMessage(
     "Open-loop load: lacewing-load [run] --experiment=FILE, or "
-    "lacewing-load compare A.json B.json");
+    "lacewing-load compare A.json B.json, or lacewing-load check "
+    "--json=FILE --records=FILE --runs=FILE,... --stats=FILE,...");
   std::vector<char*> arguments = absl::ParseCommandLine(aCount, aArguments);
   arguments.erase(arguments.begin());
   lacewing::StartLogging(lacewing::LogLevel::kInfo);
