--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -1,8 +1,6 @@
 #include "net/CurlEasyPriv.h"
 
-#include <algorithm>
-#include <cstdio>
-#include <cstring>
+#include <cstdlib>
 #include <utility>
 
 namespace lacewing {
@@ -25,10 +23,6 @@
   curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &CurlEasy::WriteField);
   curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
-  curl_easy_setopt(handle_, CURLOPT_READFUNCTION, &CurlEasy::ReadBody);
-  curl_easy_setopt(handle_, CURLOPT_READDATA, this);
-  curl_easy_setopt(handle_, CURLOPT_SEEKFUNCTION, &CurlEasy::SeekBody);
-  curl_easy_setopt(handle_, CURLOPT_SEEKDATA, this);
   curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &CurlEasy::BeforeSend);
   curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
 }
@@ -45,7 +39,6 @@
   call_ = std::move(aCall);
   response_ = HttpResponse();
   response_.status = 0;
-  bodyOffset_ = 0;
   sendBegun_ = false;
   tooLarge_ = false;
 
@@ -69,11 +62,12 @@
   // Ends the effect of POST and NOBODY of the call before.
   curl_easy_setopt(handle_, CURLOPT_HTTPGET, 1L);
   if (call_.body) {
-    // An empty body travels the same way as any other.
-    curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+    // libcurl reads from the body, which call_ keeps, and sends a small one
+    // together with the head.
     curl_easy_setopt(handle_,
                      CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call_.body->size()));
+    curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, call_.body->data());
   } else if (call_.method == "HEAD") {
     curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
   }
@@ -145,32 +139,6 @@
          response_.fields.Find("Transfer-Encoding") != nullptr;
 }
 
-std::size_t CurlEasy::ReadBody(char* aBuffer,
-                               std::size_t aSize,
-                               std::size_t aCount,
-                               void* aSelf)
-{
-  auto& self = *static_cast<CurlEasy*>(aSelf);
-  const std::string& body = *self.call_.body;
-  const std::size_t length =
-    std::min(aSize * aCount, body.size() - self.bodyOffset_);
-  std::memcpy(aBuffer, body.data() + self.bodyOffset_, length);
-  self.bodyOffset_ += length;
-  return length;
-}
-
-int CurlEasy::SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin)
-{
-  auto& self = *static_cast<CurlEasy*>(aSelf);
-  // libcurl rewinds to send the request a second time on a new connection;
-  // BeforeSend refuses that as well.
-  if (!self.call_.idempotent || aOrigin != SEEK_SET) {
-    return CURL_SEEKFUNC_FAIL;
-  }
-  self.bodyOffset_ = static_cast<std::size_t>(aOffset);
-  return CURL_SEEKFUNC_OK;
-}
-
 // libcurl 7.88 calls this on every connection right before it sends, also when
 // it repeats a request that a kept connection lost without an answer byte.
 int CurlEasy::BeforeSend(void* aSelf,
--- a/src/net/CurlEasyPriv.h
+++ b/src/net/CurlEasyPriv.h
@@ -36,11 +36,6 @@
   bool BodyIsDelimited() const;
   void AddResponseField(std::string_view aLine);
 
-  static std::size_t ReadBody(char* aBuffer,
-                              std::size_t aSize,
-                              std::size_t aCount,
-                              void* aSelf);
-  static int SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin);
   static int BeforeSend(void* aSelf,
                         char* aPeerAddress,
                         char* aOwnAddress,
@@ -59,7 +54,6 @@
   curl_slist* fields_ = nullptr;
   HttpCall call_;
   HttpResponse response_;
-  std::size_t bodyOffset_ = 0;
   bool sendBegun_ = false;
   bool tooLarge_ = false;
 };
--- /dev/null
+++ b/tests/support/ScriptedTarget.h
@@ -0,0 +1,132 @@
+#ifndef TESTS_SUPPORT_SCRIPTEDTARGET_H
+#define TESTS_SUPPORT_SCRIPTEDTARGET_H
+
+#include "lacewing/Endpoint.h"
+
+#include <asio.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace lacewing {
+
+/**
+ * A target that answers with bytes of the test's choice, so that it can break
+ * the protocol. A script gets the number of the request, from 1 on, and its
+ * head and returns the answer; an empty answer closes the connection, and
+ * bytes after kThenClose are not sent but end the connection.
+ */
+class ScriptedTarget
+{
+public:
+  using Script = std::function<std::string(int, const std::string&)>;
+
+  static constexpr const char* kThenClose = "\x01";
+
+  explicit ScriptedTarget(Script aScript)
+    : script_(std::move(aScript))
+    , acceptor_(context_, { asio::ip::address_v4::loopback(), 0 })
+  {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~ScriptedTarget()
+  {
+    context_.stop();
+    thread_.join();
+  }
+
+  Endpoint Address() const
+  {
+    return { "127.0.0.1", acceptor_.local_endpoint().port() };
+  }
+  int Runs() const { return runs_; }
+
+private:
+  struct Session
+  {
+    explicit Session(asio::ip::tcp::socket aSocket)
+      : socket(std::move(aSocket))
+    {
+    }
+    asio::ip::tcp::socket socket;
+    std::array<char, 65536> buffer{};
+    std::string received;
+  };
+
+  void Accept()
+  {
+    acceptor_.async_accept(
+      [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
+        if (!aError) {
+          Read(std::make_shared<Session>(std::move(aSocket)));
+          Accept();
+        }
+      });
+  }
+
+  void Read(const std::shared_ptr<Session>& aSession)
+  {
+    aSession->socket.async_read_some(
+      asio::buffer(aSession->buffer),
+      [this, aSession](const asio::error_code& aError, std::size_t aLength) {
+        if (aError) {
+          return;
+        }
+        aSession->received.append(aSession->buffer.data(), aLength);
+        if (IsWhole(aSession->received)) {
+          Answer(aSession, std::exchange(aSession->received, {}));
+        } else {
+          Read(aSession);
+        }
+      });
+  }
+
+  static bool IsWhole(const std::string& aRequest)
+  {
+    const std::size_t end = aRequest.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      return false;
+    }
+    const std::string field = "Content-Length: ";
+    const std::size_t length = aRequest.find(field);
+    return length > end ||
+           aRequest.size() >=
+             end + 4 + std::stoul(aRequest.substr(length + field.size()));
+  }
+
+  void Answer(const std::shared_ptr<Session>& aSession,
+              const std::string& aRequest)
+  {
+    const std::string answer = script_(++runs_, aRequest);
+    const std::size_t end = answer.find(kThenClose);
+    asio::error_code error;
+    asio::write(aSession->socket, asio::buffer(answer.substr(0, end)), error);
+    if (!error && end == std::string::npos && !answer.empty()) {
+      Read(aSession);
+    }
+  }
+
+  Script script_;
+  std::atomic<int> runs_{ 0 };
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+/** A whole answer with that body. */
+inline std::string Whole(const std::string& aBody,
+                         const std::string& aFields = "")
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n" + aFields + "\r\n" + aBody;
+}
+
+} // namespace lacewing
+
+#endif // TESTS_SUPPORT_SCRIPTEDTARGET_H
