--- a/src/decision/DecayingValue.cpp
+++ b/src/decision/DecayingValue.cpp
@@ -7,7 +7,10 @@
 
 double DecayingValue::At(TimePoint aNow) const
 {
-  if (value_ == 0) {
+  // What is left after this many half-lives, less than a thousandth, counts
+  // as nothing; most values are at rest and cost no power function.
+  constexpr int kMostHalfLives = 10;
+  if (value_ == 0 || aNow - time_ > kMostHalfLives * halfLife_) {
     return 0;
   }
   return value_ * std::exp2(-std::chrono::duration<double>(aNow - time_) /
--- a/src/decision/RoutingContext.h
+++ b/src/decision/RoutingContext.h
@@ -4,7 +4,6 @@
 #include "decision/TargetView.h"
 #include "lacewing/Clock.h"
 #include "lacewing/SlotCount.h"
-#include "lacewing/ZoneId.h"
 
 #include <cstddef>
 #include <memory>
@@ -25,7 +24,6 @@
   SlotCount slots;
   /** Requests that this worker may have in progress at one target. */
   SlotCount limit;
-  ZoneId ownZone;
   /** Usual answer time of the service; zero when unknown. */
   Duration typical{ 0 };
   /** Mean of other workers' requests in progress at a target. */
--- a/src/decision/ServiceState.cpp
+++ b/src/decision/ServiceState.cpp
@@ -37,7 +37,6 @@
     known.emplace(target->Route().id, target);
   }
   targets_.clear();
-  ownZone_ = aOwnZone;
   route_ = std::move(aRoute);
   if (!route_) {
     return;
@@ -45,9 +44,9 @@
   for (const TargetRoute& route : route_->targets) {
     const auto found = known.find(route.id);
     if (found == known.end()) {
-      targets_.push_back(std::make_shared<TargetView>(route));
+      targets_.push_back(std::make_shared<TargetView>(route, aOwnZone));
     } else {
-      found->second->Update(route);
+      found->second->Update(route, aOwnZone);
       targets_.push_back(found->second);
     }
   }
@@ -62,7 +61,6 @@
                           aRandom,
                           route_->slots,
                           ConnectionLimit(),
-                          ownZone_,
                           typical_.Value(),
                           usualOthers_,
                           aNow - aRequest.arrived };
--- a/src/decision/ServiceState.h
+++ b/src/decision/ServiceState.h
@@ -71,7 +71,6 @@
   ServiceId id_;
   std::unique_ptr<RoutingStrategy> strategy_;
   std::shared_ptr<const ServiceRoute> route_;
-  ZoneId ownZone_;
   std::vector<Target> targets_;
   WaitQueue waiting_;
   RetryBudget retries_;
--- a/src/decision/TargetView.cpp
+++ b/src/decision/TargetView.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-TargetView::TargetView(TargetRoute aRoute)
+TargetView::TargetView(TargetRoute aRoute, const ZoneId& aOwnZone)
   : route_(std::move(aRoute))
+  , inOwnZone_(route_.zone == aOwnZone)
   , failures_(kFailureHalfLife)
 {
 }
@@ -64,7 +65,7 @@
   return penalty;
 }
 
-void TargetView::Update(const TargetRoute& aRoute)
+void TargetView::Update(const TargetRoute& aRoute, const ZoneId& aOwnZone)
 {
   if (route_.epoch < aRoute.epoch) {
     // The new epoch may belong to an instance that other hosts saw first; its
@@ -75,6 +76,7 @@
     slowAnswers_ = 0;
   }
   route_ = aRoute;
+  inOwnZone_ = aRoute.zone == aOwnZone;
 }
 
 void TargetView::SetGrant(const std::optional<HeldGrant>& aGrant)
--- a/src/decision/TargetView.h
+++ b/src/decision/TargetView.h
@@ -19,9 +19,11 @@
 class TargetView
 {
 public:
-  explicit TargetView(TargetRoute aRoute);
+  TargetView(TargetRoute aRoute, const ZoneId& aOwnZone);
 
   const TargetRoute& Route() const { return route_; }
+  /** Whether the target is in the worker's own availability zone. */
+  bool InOwnZone() const { return inOwnZone_; }
   SlotCount InFlight() const
   {
     return SlotCount(static_cast<std::uint32_t>(sent_.size()));
@@ -48,7 +50,7 @@
   unsigned SlowAnswers() const { return slowAnswers_; }
 
   /** Takes over phase and epoch. */
-  void Update(const TargetRoute& aRoute);
+  void Update(const TargetRoute& aRoute, const ZoneId& aOwnZone);
   void SetGrant(const std::optional<HeldGrant>& aGrant);
 
   /** Whether one more request may be sent now, given the own limit. */
@@ -78,6 +80,7 @@
   void AddFailure(TimePoint aNow);
 
   TargetRoute route_;
+  bool inOwnZone_;
   std::optional<HeldGrant> grant_;
   InstanceId instance_;
   /** Start of each request in progress, the oldest first. */
--- a/src/decision/ZonePreference.cpp
+++ b/src/decision/ZonePreference.cpp
@@ -42,7 +42,7 @@
         aContext.Penalty(*target) > 1) {
       continue;
     }
-    const bool isOwn = target->Route().zone == aContext.ownZone;
+    const bool isOwn = target->InOwnZone();
     (isOwn ? own : other) += target->Latency();
     ++(isOwn ? owns : others);
   }
--- a/src/decision/ZoneSlotsStrategy.cpp
+++ b/src/decision/ZoneSlotsStrategy.cpp
@@ -34,7 +34,10 @@
     Choice any;
     std::size_t usable = 0;
     std::size_t failing = 0;
-    for (std::size_t i = 0; i < aContext.targets.size(); ++i) {
+    // The first of equal targets is taken; the random start spreads them.
+    const std::size_t count = aContext.targets.size();
+    std::size_t i = count == 0 ? 0 : aContext.random() % count;
+    for (std::size_t seen = 0; seen < count; ++seen, i = Next(i, count)) {
       const TargetView& target = *aContext.targets[i];
       if (!(target.InFlight() < aContext.slots) || !aContext.Allows(i)) {
         continue;
@@ -42,12 +45,11 @@
       ++usable;
       const double penalty = aContext.Penalty(target);
       const double own = target.InFlight().value() + penalty;
-      const double load =
-        own + QueueSign(aContext, target) +
-        (target.Route().zone == aContext.ownZone ? 0 : preference_.Value());
-      any.Offer(i, load, aContext);
+      const double load = own + QueueSign(aContext, target) +
+                          (target.InOwnZone() ? 0 : preference_.Value());
+      any.Offer(i, load);
       if (own < aContext.slots.value()) {
-        free.Offer(i, load, aContext);
+        free.Offer(i, load);
       }
       failing += penalty >= 1 ? 1 : 0;
     }
@@ -63,25 +65,26 @@
   }
 
 private:
-  /** The least loaded target so far; ties are broken at random. */
+  /** The least loaded target so far. */
   struct Choice
   {
     std::optional<std::size_t> index;
     double load = 0;
-    std::uint64_t ties = 0;
 
-    void Offer(std::size_t aIndex, double aLoad, const RoutingContext& aContext)
+    void Offer(std::size_t aIndex, double aLoad)
     {
       if (!index || aLoad < load) {
         index = aIndex;
         load = aLoad;
-        ties = 1;
-      } else if (aLoad == load && aContext.random() % ++ties == 0) {
-        index = aIndex;
       }
     }
   };
 
+  static std::size_t Next(std::size_t aIndex, std::size_t aCount)
+  {
+    return aIndex + 1 == aCount ? 0 : aIndex + 1;
+  }
+
   static double QueueSign(const RoutingContext& aContext,
                           const TargetView& aTarget)
   {
