--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -121,8 +121,10 @@
   Execute(engine_->OnSnapshot(std::move(aSnapshot)));
 }
 
-void RequestForwarder::SetGrants(const std::vector<HeldGrant>& aGrants)
+void RequestForwarder::SetGrants(GrantRound aRound,
+                                 const std::vector<HeldGrant>& aGrants)
 {
+  grantRound_ = aRound;
   Execute(engine_->OnGrants(aGrants));
 }
 
@@ -143,6 +145,7 @@
   report.buffered = budget_->Used();
   report.version = version_;
   report.callersGone = callersGone_;
+  report.grantRound = grantRound_;
   report.stopped = stopped_;
   report.answers = answers_;
   report.latency = latency_;
@@ -185,6 +188,13 @@
     std::chrono::ceil<std::chrono::milliseconds>(remaining) + kTimeoutReserve;
   call.connectTimeout = kConnectTimeout;
   call.maxResponseBody = options_.limits.maxAnswer;
+  call.reserve = [charge = pending.charge,
+                  spare =
+                    options_.limits.answerReserve](ByteCount aBytes) mutable {
+    const ByteCount own = std::min(spare, aBytes);
+    spare -= own;
+    return charge->Grow(aBytes - own);
+  };
   // Only the engine repeats a request: it knows budgets and grants.
   call.idempotent = false;
   pending.attempt = aAction.attempt;
--- a/src/net/CurlEasyPriv.h
+++ b/src/net/CurlEasyPriv.h
@@ -15,12 +15,15 @@
 class CurlEasy
 {
 public:
-  CurlEasy();
+  explicit CurlEasy(const HttpClientOptions& aOptions);
   ~CurlEasy();
   CurlEasy(const CurlEasy&) = delete;
   CurlEasy& operator=(const CurlEasy&) = delete;
 
-  void Prepare(HttpCall aCall, const HttpClientOptions& aOptions);
+  void Prepare(HttpCall aCall);
+
+  /** Lets go of what the call holds, when it is cancelled. */
+  void Release();
 
   HttpCallResult TakeResult(CURLcode aCode);
 
@@ -33,11 +36,11 @@
   bool BodyIsDelimited() const;
   void AddResponseField(std::string_view aLine);
 
-  static std::size_t ReadBody(char* aBuffer,
-                              std::size_t aSize,
-                              std::size_t aCount,
-                              void* aSelf);
-  static int SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin);
+  static int BeforeSend(void* aSelf,
+                        char* aPeerAddress,
+                        char* aOwnAddress,
+                        int aPeerPort,
+                        int aOwnPort);
   static std::size_t WriteBody(char* aData,
                                std::size_t aSize,
                                std::size_t aCount,
@@ -51,7 +54,7 @@
   curl_slist* fields_ = nullptr;
   HttpCall call_;
   HttpResponse response_;
-  std::size_t bodyOffset_ = 0;
+  bool sendBegun_ = false;
   bool tooLarge_ = false;
 };
 
