--- a/src/control/PhaseDesk.cpp
+++ b/src/control/PhaseDesk.cpp
@@ -28,7 +28,7 @@
   for (auto target = known_.begin(); target != known_.end();) {
     if (index_.Find(*target) == nullptr) {
       phases_.RemoveTarget(*target);
-      notWarm_.erase(*target);
+      moving_.erase(*target);
       target = known_.erase(target);
     } else {
       ++target;
@@ -36,26 +36,20 @@
   }
   for (const auto& [target, entry] : index_.All()) {
     phases_.SetTarget(target, entry.warmUp);
-    if (known_.insert(target).second) {
-      notWarm_.insert(target);
-    }
+    known_.insert(target);
   }
 }
 
 void PhaseDesk::Note(const PhaseRecord& aRecord)
 {
-  if (aRecord.phase == TargetPhase::kWarm) {
-    notWarm_.erase(aRecord.target);
+  // A cold target starts to move with its first good answer.
+  if (aRecord.phase == TargetPhase::kRamping) {
+    moving_.insert(aRecord.target);
   } else {
-    notWarm_.insert(aRecord.target);
+    moving_.erase(aRecord.target);
   }
 }
 
-bool PhaseDesk::IsWarm(const TargetId& aTarget) const
-{
-  return phases_.Get(aTarget).phase == TargetPhase::kWarm;
-}
-
 TargetStateMessage PhaseDesk::Message(const std::vector<PhaseRecord>& aRecords)
 {
   TargetStateMessage message;
@@ -101,7 +95,7 @@
   for (const TargetReportEntry& entry : aReport.targets) {
     if (!entry.looksCold) {
       if (entry.answered > 0) {
-        phases_.OnGoodAnswer(entry.target, entry.instance);
+        OnGoodAnswer(entry);
       }
       continue;
     }
@@ -117,6 +111,15 @@
   Tell(changed);
 }
 
+void PhaseDesk::OnGoodAnswer(const TargetReportEntry& aEntry)
+{
+  phases_.OnGoodAnswer(aEntry.target, aEntry.instance);
+  if (known_.count(aEntry.target) > 0 &&
+      phases_.Get(aEntry.target).phase != TargetPhase::kWarm) {
+    moving_.insert(aEntry.target);
+  }
+}
+
 void PhaseDesk::OnState(LinkId aFrom,
                         const TargetStateMessage& aMessage,
                         bool aForward)
@@ -144,7 +147,7 @@
 void PhaseDesk::OnTimer()
 {
   std::vector<PhaseRecord> changed;
-  for (const TargetId& target : notWarm_) {
+  for (const TargetId& target : moving_) {
     const TargetIndex::Entry* entry = index_.Find(target);
     if (entry == nullptr || !holds_(entry->shard)) {
       continue;
--- a/src/control/PhaseDesk.h
+++ b/src/control/PhaseDesk.h
@@ -38,10 +38,10 @@
   void OnTimer();
 
   const PhaseTable& Phases() const { return phases_; }
-  bool IsWarm(const TargetId& aTarget) const;
 
 private:
   void Note(const PhaseRecord& aRecord);
+  void OnGoodAnswer(const TargetReportEntry& aEntry);
   static TargetStateMessage Message(const std::vector<PhaseRecord>& aRecords);
   void Tell(const std::vector<PhaseRecord>& aRecords);
 
@@ -50,8 +50,11 @@
   LeaseCheck holds_;
   PhaseTable phases_;
   std::set<TargetId> known_;
-  /** Targets that are not warm, so that timers look only at these. */
-  std::set<TargetId> notWarm_;
+  /**
+   * Targets whose cold time or ramp runs. Only these can advance; with 15,000
+   * targets, looking at all that are not warm took 5 % of a core.
+   */
+  std::set<TargetId> moving_;
 };
 
 } // namespace lacewing
