Remember recent versions and prolong grants for longer deadlines

Cause: a controld that asks a peer for a change listed all 582 objects that it held (39 KB). A ledger kept the longest deadline of the moment when its lease was taken over, so that a configuration with a longer one could let a cold target get more than its limit.

Change: ConfigHistory keeps the hashes of 16 versions; a want of a remembered version lists nothing. GrantLedger::RaiseLongestDeadline (src/decision) prolongs the account of grants given before.

--- a/src/control/ConfigExchange.cpp
+++ b/src/control/ConfigExchange.cpp
@@ -39,7 +39,11 @@
   }
   ConfigWantMessage want;
   want.version = book_.Version();
-  if (const HeldConfig* held = book_.InForce()) {
+  // A peer that is only a few versions ahead remembers what this one held.
+  const bool recent =
+    best->second.value() - want.version.value() < kRememberedVersions;
+  const HeldConfig* held = book_.InForce();
+  if (held != nullptr && (!recent || listHeld_)) {
     for (const auto& [name, entry] : held->loaded.head.entries) {
       want.held.push_back({ name.value(), entry.hash.value() });
     }
@@ -54,6 +58,10 @@
   for (const ConfigEntry& entry : aWant.held) {
     want.held[ObjectName(entry.name)] = BlobHash(entry.hash);
   }
+  const HeldHashes* remembered = history_.Find(want.version);
+  if (want.held.empty() && remembered != nullptr) {
+    want.held = *remembered;
+  }
   if (want.version < book_.Version()) {
     wants_.erase(aLink);
     Answer(aLink, want);
@@ -87,6 +95,9 @@
   } else {
     offered = outcome::failure(whole.error());
   }
+  // Objects are missing when the own version changed meanwhile or when the
+  // peer knows other contents by that version.
+  listHeld_ = !offered && offered.error().kind == ErrorKind::kNotFound;
   // An older version came when the store was faster than the peer.
   if (!offered && offered.error().kind != ErrorKind::kConflict) {
     ++refused_;
@@ -112,6 +123,7 @@
 
 void ConfigExchange::OnChanged()
 {
+  history_.Add(book_.InForce()->loaded.head);
   const auto wants = std::exchange(wants_, {});
   for (const auto& [link, want] : wants) {
     if (want.version < book_.Version()) {
--- a/src/control/ConfigExchange.h
+++ b/src/control/ConfigExchange.h
@@ -3,6 +3,7 @@
 
 #include "control/ConfigBook.h"
 #include "control/ConfigCollector.h"
+#include "control/ConfigHistory.h"
 #include "control/ConfigParts.h"
 #include "control/ControlTerms.h"
 #include "control/PeerLinks.h"
@@ -58,6 +59,9 @@
   const Clock& clock_;
   ControlTerms terms_;
   ConfigBook& book_;
+  ConfigHistory history_;
+  /** Whether the next want has to list the objects that are held. */
+  bool listHeld_ = false;
   PeerLinks& links_;
   std::uint64_t refused_ = 0;
   std::map<LinkId, ConfigVersion> versions_;
--- a/src/control/ControlDaemon.cpp
+++ b/src/control/ControlDaemon.cpp
@@ -277,6 +277,7 @@
         { { "version", std::to_string(configuration.version.value()) } });
     state_->index.Set(configuration);
     state_->phaseDesk.OnConfig();
+    state_->grantDesk.OnConfig();
     state_->configExchange.OnChanged();
     // Peers learn of the version at once and ask for it.
     state_->memberExchange.SendHeartbeats(state_->book.Version());
--- a/src/control/GrantDesk.cpp
+++ b/src/control/GrantDesk.cpp
@@ -36,6 +36,13 @@
                    }));
 }
 
+void GrantDesk::OnConfig()
+{
+  for (auto& [shard, ledger] : ledgers_) {
+    ledger.RaiseLongestDeadline(index_.LongestDeadline());
+  }
+}
+
 template<class Message, class Entry>
 void GrantDesk::Forward(ShardId aShard,
                         const Entry& aEntry,
--- a/src/control/GrantDesk.h
+++ b/src/control/GrantDesk.h
@@ -34,6 +34,8 @@
             PeerLinks& aLinks,
             LeaseCheck aHolds);
 
+  /** The index changed. */
+  void OnConfig();
   /** The lease on a shard was taken over here. */
   void OnLeaseHeld(ShardId aShard, Epoch aEpoch);
   void OnWant(LinkId aLink, const GrantWantMessage& aMessage);
--- a/src/decision/GrantLedger.cpp
+++ b/src/decision/GrantLedger.cpp
@@ -73,6 +73,29 @@
   targets_.erase(aTarget);
 }
 
+void GrantLedger::RaiseLongestDeadline(Duration aDeadline)
+{
+  if (aDeadline <= terms_.longestDeadline) {
+    return;
+  }
+  const auto time = [this] {
+    return terms_.margin.Lengthen(terms_.grantTime + terms_.longestDeadline);
+  };
+  const Duration before = time();
+  terms_.longestDeadline = aDeadline;
+  const Duration added = time() - before;
+  if (clock_.Now() < graceEnd_) {
+    graceEnd_ += added;
+  }
+  for (auto& target : targets_) {
+    for (auto& asker : target.second) {
+      for (Given& given : asker.second.given) {
+        given.end += added;
+      }
+    }
+  }
+}
+
 std::vector<Grant> GrantLedger::Give()
 {
   std::vector<Grant> grants;
--- a/src/decision/GrantLedger.h
+++ b/src/decision/GrantLedger.h
@@ -45,6 +45,11 @@
   void OnWant(const GrantWant& aWant);
   void OnReturn(const GrantReturn& aReturn);
   void RemoveTarget(const TargetId& aTarget);
+  /**
+   * Requests may have longer deadlines from now on, also those that are sent
+   * under grants given before. A shorter deadline changes nothing.
+   */
+  void RaiseLongestDeadline(Duration aDeadline);
 
   /**
    * The grants that can be given now, slot by slot to the asker that has
