--- a/src/decision/GrantLedger.cpp
+++ b/src/decision/GrantLedger.cpp
@@ -11,6 +11,17 @@
 // Grants of one lease; ids of the next lease start above.
 constexpr std::uint64_t kIdsPerLease = std::uint64_t{ 1 } << 32;
 
+// The conditional write that made the lease object proves that nobody held the
+// lease before, so no grant can be in use.
+constexpr Epoch kFirstLease{ 1 };
+
+Duration GraceTime(const GrantTerms& aTerms, Epoch aLease)
+{
+  return aLease == kFirstLease
+           ? Duration(0)
+           : aTerms.margin.Lengthen(aTerms.grantTime + aTerms.longestDeadline);
+}
+
 } // namespace
 
 GrantLedger::GrantLedger(const Clock& aClock,
@@ -22,8 +33,7 @@
   , phases_(aPhases)
   , terms_(aTerms)
   , leaseCheck_(std::move(aLeaseCheck))
-  , graceEnd_(aClock.Now() +
-              aTerms.margin.Lengthen(aTerms.grantTime + aTerms.longestDeadline))
+  , graceEnd_(aClock.Now() + GraceTime(aTerms, aLease))
   , lastId_(aLease.value() * kIdsPerLease)
 {
 }
