Show results over time and write them as an HTML page

Cause: a fault or a zone change in the middle of a phase vanishes in the phase's percentiles.

Change: the load tool also tallies slices of slice_ms and `lacewing-load report A.json A.html` draws latency and ends of requests over time as SVG, with the timeline's moments marked. A phase without length is refused.

The chart was not looked at in a browser.

--- a/src/load/LoadExperiment.cpp
+++ b/src/load/LoadExperiment.cpp
@@ -39,12 +39,21 @@
                 "give at least one [[entry]], [[phase]] and [[request]]");
   }
   for (const LoadPhase& phase : aExperiment.phases) {
-    if (!(phase.rate > 0) || phase.burst <= Duration::zero() ||
-        phase.burst > phase.burstPeriod) {
-      return fail("a phase has no rate, or a burst that does not fit",
-                  "give a positive rate, and burst_ms up to burst_period_ms");
+    if (!(phase.rate > 0) || phase.duration <= Duration::zero() ||
+        phase.burst <= Duration::zero() || phase.burst > phase.burstPeriod) {
+      return fail(
+        "a phase has no rate, no length, or a burst that does not fit",
+        "give a positive rate and duration_ms, and burst_ms up to "
+        "burst_period_ms");
     }
   }
+  // Each slice takes about 20 KB a thread.
+  constexpr std::size_t kMaxSlices = 5000;
+  if (aExperiment.settings.slice <= Duration::zero() ||
+      aExperiment.SliceCount() > kMaxSlices) {
+    return fail("the slices are too short for the experiment's length",
+                "give a larger slice_ms");
+  }
   for (const RequestKind& kind : aExperiment.kinds) {
     if (!(kind.weight > 0) || kind.path.empty() || kind.path[0] != '/') {
       return fail("a request has no weight or no absolute path",
@@ -83,4 +92,14 @@
   return length;
 }
 
+std::size_t LoadExperiment::SliceCount() const
+{
+  return SliceOf(Length() - Duration(1)) + 1;
+}
+
+std::size_t LoadExperiment::SliceOf(Duration aOffset) const
+{
+  return static_cast<std::size_t>(aOffset / settings.slice);
+}
+
 } // namespace lacewing
--- a/src/load/LoadExperiment.h
+++ b/src/load/LoadExperiment.h
@@ -33,6 +33,11 @@
 
   /** Length of all phases together. */
   Duration Length() const;
+
+  std::size_t SliceCount() const;
+
+  /** The slice of a request intended at aOffset from the start. */
+  std::size_t SliceOf(Duration aOffset) const;
 };
 
 } // namespace lacewing
--- a/src/load/LoadResult.cpp
+++ b/src/load/LoadResult.cpp
@@ -60,11 +60,16 @@
   : experiment_(std::move(aExperiment))
   , tallies_(experiment_->phases.size(),
              std::vector<LoadTally>(experiment_->kinds.size()))
+  , slices_(experiment_->SliceCount())
 {
 }
 
-void LoadResult::Merge(const std::vector<std::vector<LoadTally>>& aTallies)
+void LoadResult::Merge(const std::vector<std::vector<LoadTally>>& aTallies,
+                       const std::vector<LoadTally>& aSlices)
 {
+  for (std::size_t slice = 0; slice < slices_.size(); ++slice) {
+    slices_[slice].Merge(aSlices[slice]);
+  }
   for (std::size_t phase = 0; phase < tallies_.size(); ++phase) {
     for (std::size_t kind = 0; kind < tallies_[phase].size(); ++kind) {
       tallies_[phase][kind].Merge(aTallies[phase][kind]);
@@ -108,7 +113,13 @@
     }
     phases.push_back(std::move(entry));
   }
-  return { { "seed", experiment_->settings.seed },
+  nlohmann::json slices = nlohmann::json::array();
+  for (const LoadTally& slice : slices_) {
+    slices.push_back(TallyJson(slice));
+  }
+  return { { "slice_ms", Milliseconds(experiment_->settings.slice) },
+           { "slices", std::move(slices) },
+           { "seed", experiment_->settings.seed },
            { "phases", std::move(phases) },
            { "total", TallyJson(Total()) } };
 }
--- a/src/load/LoadResult.h
+++ b/src/load/LoadResult.h
@@ -19,7 +19,9 @@
 public:
   explicit LoadResult(std::shared_ptr<const LoadExperiment> aExperiment);
 
-  void Merge(const std::vector<std::vector<LoadTally>>& aTallies);
+  /** Adds the tallies of a thread: of phases and kinds, and of slices. */
+  void Merge(const std::vector<std::vector<LoadTally>>& aTallies,
+             const std::vector<LoadTally>& aSlices);
 
   /** Sum over kinds, and over phases too for the total. */
   LoadTally PhaseTally(std::size_t aPhase) const;
@@ -30,6 +32,7 @@
 private:
   const std::shared_ptr<const LoadExperiment> experiment_;
   std::vector<std::vector<LoadTally>> tallies_;
+  std::vector<LoadTally> slices_;
 };
 
 /** A record as a line of JSON, without its end. */
--- a/src/load/LoadRun.cpp
+++ b/src/load/LoadRun.cpp
@@ -70,7 +70,7 @@
 
   LoadResult result(aExperiment);
   for (const auto& worker : workers) {
-    result.Merge(worker->Tallies());
+    result.Merge(worker->Tallies(), worker->Slices());
   }
   if (!aOptions.recordsFile.empty()) {
     BOOST_OUTCOME_TRY(
--- a/src/load/LoadSettings.h
+++ b/src/load/LoadSettings.h
@@ -20,14 +20,17 @@
   Duration avoid = std::chrono::seconds(1);
   /** Time between two questions to /ready of an entry host. */
   Duration readyPoll = std::chrono::milliseconds(250);
+  /** Results are also given for each stretch of this length. */
+  Duration slice = std::chrono::seconds(1);
 };
 
-inline constexpr std::array<JsonProperty<LoadSettings>, 5> kLoadSettings{ {
+inline constexpr std::array<JsonProperty<LoadSettings>, 6> kLoadSettings{ {
   { "seed", &LoadSettings::seed },
   { "direct", &LoadSettings::direct },
   { "max_in_flight", &LoadSettings::maxInFlight },
   { "avoid_ms", &LoadSettings::avoid },
   { "ready_poll_ms", &LoadSettings::readyPoll },
+  { "slice_ms", &LoadSettings::slice },
 } };
 
 } // namespace lacewing
--- a/src/load/LoadWorker.cpp
+++ b/src/load/LoadWorker.cpp
@@ -43,6 +43,7 @@
   , entries_(experiment_->entries.size())
   , tallies_(experiment_->phases.size(),
              std::vector<LoadTally>(experiment_->kinds.size()))
+  , slices_(experiment_->SliceCount())
 {
 }
 
@@ -119,6 +120,7 @@
     return;
   }
   ++tally.sent;
+  ++SliceOf(*request).sent;
   tally.sendLag.Add(clock_.Now() - aIntended);
   ++inFlight_;
   Send(request);
@@ -149,6 +151,7 @@
   const Duration latency = now - aRequest->intended;
   const CheckedAnswer answer = CheckAnswer(aResult, aRequest->expected);
   tallies_[aRequest->phase][aRequest->kind].Add(answer, latency);
+  SliceOf(*aRequest).Add(answer, latency);
   if (options_.keepRecords) {
     records_.push_back(
       { aRequest->id,
@@ -161,6 +164,11 @@
   }
 }
 
+LoadTally& LoadWorker::SliceOf(const LoadRequest& aRequest)
+{
+  return slices_[experiment_->SliceOf(aRequest.intended - options_.start)];
+}
+
 std::size_t LoadWorker::ChooseEntry()
 {
   const TimePoint now = clock_.Now();
--- a/src/load/LoadWorker.h
+++ b/src/load/LoadWorker.h
@@ -50,6 +50,8 @@
   {
     return tallies_;
   }
+  /** A tally of each slice of the experiment; to be read after Run. */
+  const std::vector<LoadTally>& Slices() const { return slices_; }
   const std::vector<RequestRecord>& Records() const { return records_; }
 
 private:
@@ -67,6 +69,7 @@
   void Send(const std::shared_ptr<LoadRequest>& aRequest);
   void OnResult(const std::shared_ptr<LoadRequest>& aRequest,
                 const HttpCallResult& aResult);
+  LoadTally& SliceOf(const LoadRequest& aRequest);
   std::size_t ChooseEntry();
 
   const std::shared_ptr<const LoadExperiment> experiment_;
@@ -85,6 +88,7 @@
   TimePoint next_;
   std::size_t inFlight_ = 0;
   std::vector<std::vector<LoadTally>> tallies_;
+  std::vector<LoadTally> slices_;
   std::vector<RequestRecord> records_;
 };
 
--- a/tests/process/LoadToolTest.cpp
+++ b/tests/process/LoadToolTest.cpp
@@ -77,6 +77,10 @@
   CHECK(total["answered_whole"] > 0);
   CHECK(total["reasons"]["status-500"] == total["errors"]);
   CHECK(total["errors"] > 0);
+  Process report("lacewing-load",
+                 { "report", File("result.json"), File("report.html") });
+  CHECK(report.Wait(10s) == 0);
+  CHECK(std::filesystem::file_size(File("report.html")) > 1000);
   std::set<std::string> ids;
   std::string line;
   for (std::ifstream records(File("records")); std::getline(records, line);) {
--- a/tools/lacewing_load.cpp
+++ b/tools/lacewing_load.cpp
@@ -1,4 +1,5 @@
 #include "core/Log.h"
+#include "load/HtmlReport.h"
 #include "load/LoadRun.h"
 #include "load/ResultTable.h"
 #include "load/TomlFile.h"
@@ -158,6 +159,18 @@
   return 0;
 }
 
+Outcome<int> Report(const std::vector<char*>& aArguments)
+{
+  if (aArguments.size() != 2) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "report needs the results and the file to write",
+                "write: lacewing-load report A.json A.html");
+  }
+  BOOST_OUTCOME_TRY(const nlohmann::json result, ReadResult(aArguments[0]));
+  BOOST_OUTCOME_TRY(WriteFile(aArguments[1], MakeHtmlReport(result)));
+  return 0;
+}
+
 struct Command
 {
   std::string_view name;
@@ -167,6 +180,7 @@
 constexpr Command kCommands[] = {
   { "run", &Run },
   { "compare", &Compare },
+  { "report", &Report },
 };
 
 Outcome<int> RunCommand(std::vector<char*> aArguments)
@@ -182,7 +196,7 @@
   }
   return Fail(ErrorKind::kInvalidArgument,
               "there is no command \"" + name + "\"",
-              "write run or compare");
+              "write run, compare or report");
 }
 
 } // namespace
@@ -193,7 +207,8 @@
 {
   absl::SetProgramUsageMessage(
     "Open-loop load: lacewing-load [run] --experiment=FILE, or "
-    "lacewing-load compare A.json B.json");
+    "lacewing-load compare A.json B.json, or "
+    "lacewing-load report A.json A.html");
   std::vector<char*> arguments = absl::ParseCommandLine(aCount, aArguments);
   arguments.erase(arguments.begin());
   lacewing::StartLogging(lacewing::LogLevel::kInfo);
