--- a/src/decision/TargetView.h
+++ b/src/decision/TargetView.h
@@ -19,15 +19,20 @@
 class TargetView
 {
 public:
-  explicit TargetView(TargetRoute aRoute);
+  TargetView(TargetRoute aRoute, const ZoneId& aOwnZone);
 
   const TargetRoute& Route() const { return route_; }
+  /** Whether the target is in the worker's own availability zone. */
+  bool InOwnZone() const { return inOwnZone_; }
   SlotCount InFlight() const
   {
     return SlotCount(static_cast<std::uint32_t>(sent_.size()));
   }
   /** Moving average of answer times; zero when none. */
   Duration Latency() const { return latency_; }
+  /** When the last answer came, and how long it took. */
+  TimePoint LastAnswer() const { return lastAnswer_; }
+  Duration LastLatency() const { return lastLatency_; }
   const LoadReport& Report() const { return report_; }
   /** Own requests in progress beyond those at the time of the report. */
   double SentSinceReport() const;
@@ -45,7 +50,7 @@
   unsigned SlowAnswers() const { return slowAnswers_; }
 
   /** Takes over phase and epoch. */
-  void Update(const TargetRoute& aRoute);
+  void Update(const TargetRoute& aRoute, const ZoneId& aOwnZone);
   void SetGrant(const std::optional<HeldGrant>& aGrant);
 
   /** Whether one more request may be sent now, given the own limit. */
@@ -75,12 +80,15 @@
   void AddFailure(TimePoint aNow);
 
   TargetRoute route_;
+  bool inOwnZone_;
   std::optional<HeldGrant> grant_;
   InstanceId instance_;
   /** Start of each request in progress, the oldest first. */
   std::vector<TimePoint> sent_;
   SlotCount wanted_;
   TimePoint drainingUntil_;
+  TimePoint lastAnswer_;
+  Duration lastLatency_{ 0 };
   Duration latency_{ 0 };
   LoadReport report_;
   DecayingValue failures_;
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -1,15 +1,30 @@
 #include "net/CurlEasyPriv.h"
 
-#include <algorithm>
-#include <cstdio>
-#include <cstring>
+#include <cstdlib>
 #include <utility>
 
 namespace lacewing {
 
-CurlEasy::CurlEasy()
+CurlEasy::CurlEasy(const HttpClientOptions& aOptions)
   : handle_(curl_easy_init())
 {
+  curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle_, CURLOPT_HTTP09_ALLOWED, 0L);
+  // Also keeps libcurl from reading proxy variables for each call.
+  curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle_, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle_,
+                   CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(aOptions.maxIdleAge.count()));
+  curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &CurlEasy::WriteBody);
+  curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &CurlEasy::WriteField);
+  curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &CurlEasy::BeforeSend);
+  curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
 }
 
 CurlEasy::~CurlEasy()
@@ -18,64 +33,44 @@
   curl_easy_cleanup(handle_);
 }
 
-void CurlEasy::Prepare(HttpCall aCall, const HttpClientOptions& aOptions)
+void CurlEasy::Prepare(HttpCall aCall)
 {
-  curl_easy_reset(handle_);
+  const bool sameEndpoint = call_.endpoint == aCall.endpoint;
   call_ = std::move(aCall);
   response_ = HttpResponse();
   response_.status = 0;
-  bodyOffset_ = 0;
+  sendBegun_ = false;
   tooLarge_ = false;
 
-  const std::string url = "http://" + call_.endpoint.ToString() + call_.target;
-  curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(handle_, CURLOPT_HTTP09_ALLOWED, 0L);
-  curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(handle_, CURLOPT_PROXY, "");
-  curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(handle_,
-                   CURLOPT_MAXAGE_CONN,
-                   static_cast<long>(aOptions.maxIdleAge.count()));
+  if (!sameEndpoint) {
+    const std::string url = "http://" + call_.endpoint.ToString() + "/";
+    curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+  }
+  // Keeps libcurl from rewriting the path.
+  curl_easy_setopt(handle_, CURLOPT_REQUEST_TARGET, call_.target.c_str());
   curl_easy_setopt(
     handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(call_.timeout.count()));
   curl_easy_setopt(handle_,
                    CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call_.connectTimeout.count()));
-  curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &CurlEasy::WriteBody);
-  curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
-  curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &CurlEasy::WriteField);
-  curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
   SetMethodAndBody();
   SetFields();
 }
 
 void CurlEasy::SetMethodAndBody()
 {
-  const bool hasBody = call_.body && !call_.body->empty();
-  if (hasBody) {
-    curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+  // Ends the effect of POST and NOBODY of the call before.
+  curl_easy_setopt(handle_, CURLOPT_HTTPGET, 1L);
+  if (call_.body) {
+    // libcurl reads from the body, which call_ keeps, and sends a small one
+    // together with the head.
     curl_easy_setopt(handle_,
                      CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call_.body->size()));
-    curl_easy_setopt(handle_, CURLOPT_READFUNCTION, &CurlEasy::ReadBody);
-    curl_easy_setopt(handle_, CURLOPT_READDATA, this);
-    curl_easy_setopt(handle_, CURLOPT_SEEKFUNCTION, &CurlEasy::SeekBody);
-    curl_easy_setopt(handle_, CURLOPT_SEEKDATA, this);
-  } else if (call_.body) {
-    curl_easy_setopt(handle_, CURLOPT_POST, 1L);
-    curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, "");
-    curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE, 0L);
+    curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, call_.body->data());
   } else if (call_.method == "HEAD") {
     curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
   }
-  if (!call_.idempotent && !hasBody) {
-    // Without a body there is nothing to rewind, so only a new connection
-    // keeps libcurl from sending the request twice.
-    curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
-  }
   curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, call_.method.c_str());
 }
 
@@ -106,10 +101,16 @@
                                      : curl_easy_strerror(aCode);
   }
   result.response = std::move(response_);
-  call_ = HttpCall();
+  Release();
   return result;
 }
 
+void CurlEasy::Release()
+{
+  call_.body.reset();
+  call_.reserve = nullptr;
+}
+
 HttpCallEnd CurlEasy::Classify(CURLcode aCode) const
 {
   if (tooLarge_) {
@@ -138,29 +139,18 @@
          response_.fields.Find("Transfer-Encoding") != nullptr;
 }
 
-std::size_t CurlEasy::ReadBody(char* aBuffer,
-                               std::size_t aSize,
-                               std::size_t aCount,
-                               void* aSelf)
+// libcurl 7.88 calls this on every connection right before it sends, also when
+// it repeats a request that a kept connection lost without an answer byte.
+int CurlEasy::BeforeSend(void* aSelf,
+                         char* /* aPeerAddress */,
+                         char* /* aOwnAddress */,
+                         int /* aPeerPort */,
+                         int /* aOwnPort */)
 {
   auto& self = *static_cast<CurlEasy*>(aSelf);
-  const std::string& body = *self.call_.body;
-  const std::size_t length =
-    std::min(aSize * aCount, body.size() - self.bodyOffset_);
-  std::memcpy(aBuffer, body.data() + self.bodyOffset_, length);
-  self.bodyOffset_ += length;
-  return length;
-}
-
-int CurlEasy::SeekBody(void* aSelf, curl_off_t aOffset, int aOrigin)
-{
-  auto& self = *static_cast<CurlEasy*>(aSelf);
-  // libcurl rewinds to send the request a second time on a new connection.
-  if (!self.call_.idempotent || aOrigin != SEEK_SET) {
-    return CURL_SEEKFUNC_FAIL;
-  }
-  self.bodyOffset_ = static_cast<std::size_t>(aOffset);
-  return CURL_SEEKFUNC_OK;
+  const bool again = std::exchange(self.sendBegun_, true);
+  return again && !self.call_.idempotent ? CURL_PREREQFUNC_ABORT
+                                         : CURL_PREREQFUNC_OK;
 }
 
 std::size_t CurlEasy::WriteBody(char* aData,
@@ -171,7 +161,8 @@
   auto& self = *static_cast<CurlEasy*>(aSelf);
   const std::size_t length = aSize * aCount;
   if (self.response_.body.size() + length >
-      self.call_.maxResponseBody.value()) {
+        self.call_.maxResponseBody.value() ||
+      (self.call_.reserve && !self.call_.reserve(ByteCount(length)))) {
     self.tooLarge_ = true;
     return 0;
   }
