--- a/tools/lacewing_load.cpp
+++ b/tools/lacewing_load.cpp
@@ -1,4 +1,5 @@
 #include "core/Log.h"
+#include "load/HtmlReport.h"
 #include "load/LoadRun.h"
 #include "load/ResultTable.h"
 #include "load/RunCheck.h"
@@ -167,6 +168,18 @@
   return 0;
 }
 
+Outcome<int> Report(const std::vector<char*>& aArguments)
+{
+  if (aArguments.size() != 2) {
+    return Fail(ErrorKind::kInvalidArgument,
+                "report needs the results and the file to write",
+                "write: lacewing-load report A.json A.html");
+  }
+  BOOST_OUTCOME_TRY(const nlohmann::json result, ReadResult(aArguments[0]));
+  BOOST_OUTCOME_TRY(WriteFile(aArguments[1], MakeHtmlReport(result)));
+  return 0;
+}
+
 Outcome<int> Check(const std::vector<char*>&)
 {
   RunCheckInput input;
@@ -188,6 +201,7 @@
 constexpr Command kCommands[] = {
   { "run", &Run },
   { "compare", &Compare },
+  { "report", &Report },
   { "check", &Check },
 };
 
@@ -204,7 +218,7 @@
   }
   return Fail(ErrorKind::kInvalidArgument,
               "there is no command \"" + name + "\"",
-              "write run, compare or check");
+              "write run, compare, report or check");
 }
 
 } // namespace
@@ -215,8 +229,9 @@
 {
   absl::SetProgramUsageMessage(
     "Open-loop load: lacewing-load [run] --experiment=FILE, or "
-    "lacewing-load compare A.json B.json, or lacewing-load check "
-    "--json=FILE --records=FILE --runs=FILE,... --stats=FILE,...");
+    "lacewing-load compare A.json B.json, lacewing-load report A.json A.html, "
+    "or lacewing-load check --json=FILE --records=FILE --runs=FILE,... "
+    "--stats=FILE,...");
   std::vector<char*> arguments = absl::ParseCommandLine(aCount, aArguments);
   arguments.erase(arguments.begin());
   lacewing::StartLogging(lacewing::LogLevel::kInfo);
