Bound the memory of requests that are still arriving

Cause: RESTinio buffers whole bodies before the handler sees them, so 4096 slow senders could hold 4096 times max_body outside of the budget; a body behind an Upgrade field is not read at all and the request went on without it. Change: the server's sockets count what they read of a request and charge all beyond 16 KiB to the worker's budget; a caller that does not fit gets a not-run 503 and a lingering close. A planned stop waits for requests that have begun to arrive. Requests to upgrade close their connection and are refused if they have a body.

--- a/src/entry/BufferBudget.h
+++ b/src/entry/BufferBudget.h
@@ -2,11 +2,12 @@
 #define ENTRY_BUFFERBUDGET_H
 
 #include "lacewing/ByteCount.h"
+#include "net/ReadBudget.h"
 
 namespace lacewing {
 
 /** Counts the bytes that one worker holds against its limit. */
-class BufferBudget
+class BufferBudget final : public ReadBudget
 {
 public:
   explicit BufferBudget(ByteCount aLimit)
@@ -14,8 +15,7 @@
   {
   }
 
-  /** Takes nothing and returns false when the limit would be exceeded. */
-  bool Take(ByteCount aBytes)
+  bool Take(ByteCount aBytes) override
   {
     if (aBytes > limit_ - used_) {
       return false;
@@ -24,7 +24,7 @@
     return true;
   }
 
-  void Return(ByteCount aBytes) { used_ -= aBytes; }
+  void Return(ByteCount aBytes) override { used_ -= aBytes; }
 
   ByteCount Used() const { return used_; }
 
--- a/src/entry/EntryControl.cpp
+++ b/src/entry/EntryControl.cpp
@@ -99,6 +99,7 @@
                      state_.reports.end(),
                      [](const WorkerReport& aReport) {
                        return aReport.stopped && aReport.openRequests == 0 &&
+                              aReport.unfinishedRequests == 0 &&
                               aReport.buffered == ByteCount(0);
                      });
 }
--- a/src/entry/RequestForwarder.h
+++ b/src/entry/RequestForwarder.h
@@ -44,6 +44,9 @@
 
   WorkerReport TakeReport();
 
+  /** The memory for bodies and answers, also for bodies that still arrive. */
+  std::shared_ptr<ReadBudget> Budget() const { return budget_; }
+
 private:
   using PendingMap = std::unordered_map<RequestId, PendingRequest>;
 
--- a/src/entry/RequestTranslator.cpp
+++ b/src/entry/RequestTranslator.cpp
@@ -40,6 +40,15 @@
   return std::chrono::milliseconds(value);
 }
 
+/** The server does not read the body of a request to upgrade. */
+bool UpgradesWithBody(const HttpFields& aFields)
+{
+  const std::string* length = aFields.Find("Content-Length");
+  return aFields.Find("Upgrade") != nullptr &&
+         (aFields.Find("Transfer-Encoding") != nullptr ||
+          (length != nullptr && *length != "0"));
+}
+
 std::size_t FieldBytes(const HttpFields& aFields)
 {
   std::size_t bytes = 0;
@@ -62,7 +71,8 @@
   }
   // A HEAD with a body would leave the target's connection out of step.
   if (!IsPlainTarget(aRequest.target) || aRequest.method == "CONNECT" ||
-      (aRequest.method == "HEAD" && !aRequest.body.empty())) {
+      (aRequest.method == "HEAD" && !aRequest.body.empty()) ||
+      UpgradesWithBody(aRequest.fields)) {
     return RefusalReason::kBadRequest;
   }
   TranslatedRequest translated;
--- a/src/entry/TrafficWorker.cpp
+++ b/src/entry/TrafficWorker.cpp
@@ -1,5 +1,6 @@
 #include "entry/TrafficWorker.h"
 
+#include "entry/AnswerWriter.h"
 #include "entry/RequestForwarder.h"
 #include "net/HttpServer.h"
 
@@ -21,12 +22,15 @@
 // closed connection.
 constexpr ByteCount kBodyReserve(64U << 10U);
 
-HttpServerOptions ServerOptions(const WorkerOptions& aOptions)
+HttpServerOptions ServerOptions(const WorkerOptions& aOptions,
+                                std::shared_ptr<ReadBudget> aBudget)
 {
   HttpServerOptions options;
   options.endpoint = aOptions.callers;
   options.reusePort = true;
   options.maxBody = aOptions.forwarder.limits.maxBody + kBodyReserve;
+  options.readBudget = std::move(aBudget);
+  options.refusal = WriteRefusal(RefusalReason::kBuffersFull);
   return options;
 }
 
@@ -53,7 +57,7 @@
     reportTimer.expires_after(kReportPeriod);
     reportTimer.async_wait([this](const asio::error_code& aError) {
       if (!aError) {
-        report(forwarder->TakeReport());
+        Report();
         ScheduleReport();
       }
     });
@@ -63,7 +67,16 @@
   {
     server->Close();
     forwarder->Stop();
-    report(forwarder->TakeReport());
+    Report();
+  }
+
+  void Report()
+  {
+    WorkerReport taken = forwarder->TakeReport();
+    if (taken.stopped) {
+      taken.unfinishedRequests = server->UnfinishedRequests();
+    }
+    report(std::move(taken));
   }
 
   ReportHandler report;
@@ -87,7 +100,7 @@
     impl->server,
     HttpServer::Make(
       impl->context,
-      ServerOptions(aOptions),
+      ServerOptions(aOptions, impl->forwarder->Budget()),
       [forwarder = impl->forwarder.get()](
         HttpRequest aRequest, std::shared_ptr<HttpResponder> aResponder) {
         forwarder->Handle(std::move(aRequest), std::move(aResponder));
--- a/src/entry/WorkerReport.h
+++ b/src/entry/WorkerReport.h
@@ -28,6 +28,8 @@
   GrantRound grantRound;
   /** The worker refuses new requests. */
   bool stopped = false;
+  /** Requests that have begun to arrive; counted once stopped is set. */
+  std::size_t unfinishedRequests = 0;
   ByteCount buffered;
   ConfigVersion version;
   /** Callers that closed before their answer, since the start. */
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,7 +1,10 @@
 #include "net/HttpServer.h"
 
+#include "net/MeteredSocketPriv.h"
+
 #include <restinio/all.hpp>
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -21,10 +24,30 @@
 class ConnectionListener
 {
 public:
+  /** aBudget may be null. */
+  ConnectionListener(asio::io_context& aContext,
+                     std::shared_ptr<ReadBudget> aBudget,
+                     std::string aRefusal)
+    : context_(aContext)
+    , budget_(std::move(aBudget))
+    , refusal_(std::move(aRefusal))
+  {
+  }
+
   void Register(restinio::connection_id_t aConnection,
                 const std::shared_ptr<Responder>& aResponder)
   {
     pending_.emplace(aConnection, aResponder);
+    if (const std::shared_ptr<ReadMeter> meter = MeterOf(aConnection)) {
+      meter->OnRequest();
+    }
+  }
+
+  /** Null without a budget. */
+  std::shared_ptr<ReadMeter> MeterOf(restinio::connection_id_t aConnection)
+  {
+    const auto found = meters_.find(aConnection);
+    return found == meters_.end() ? nullptr : found->second.lock();
   }
 
   void Unregister(restinio::connection_id_t aConnection,
@@ -40,6 +63,17 @@
   void Dropped(restinio::connection_id_t aConnection)
   {
     open_.erase(aConnection);
+    meters_.erase(aConnection);
+  }
+
+  /** Connections with a request that is not whole yet. */
+  std::size_t InRequest() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(meters_.begin(), meters_.end(), [](const auto& aEntry) {
+        const auto meter = aEntry.second.lock();
+        return meter && meter->InRequest();
+      }));
   }
 
   std::size_t Open() const { return open_.size(); }
@@ -56,10 +90,16 @@
   std::unordered_set<restinio::connection_id_t> unused_;
   std::unordered_set<restinio::connection_id_t> open_;
   std::uint64_t accepted_ = 0;
+  asio::io_context& context_;
+  std::shared_ptr<ReadBudget> budget_;
+  std::string refusal_;
+  std::unordered_map<restinio::connection_id_t, std::weak_ptr<ReadMeter>>
+    meters_;
 };
 
 struct Traits : public restinio::default_single_thread_traits_t
 {
+  using stream_socket_t = MeteredSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
     restinio::request_handle_t)>;
   using connection_state_listener_t = ConnectionListener;
@@ -138,18 +178,25 @@
   void Respond(HttpResponse aResponse, std::shared_ptr<const void> aKept)
   {
     const restinio::request_handle_t request = Take();
+    auto meter = listener_->MeterOf(request->connection_id());
     if (request->header().method() == restinio::http_method_head()) {
-      RespondToHead(*request, std::move(aResponse), std::move(aKept));
+      RespondToHead(
+        *request, std::move(aResponse), std::move(aKept), std::move(meter));
       return;
     }
     auto response = request->create_response(StatusLine(aResponse.status));
-    Finish(*request, std::move(aResponse), std::move(aKept), response);
+    Finish(*request,
+           std::move(aResponse),
+           std::move(aKept),
+           std::move(meter),
+           response);
   }
 
   // The length of the body that a GET would bring has to stay visible.
   static void RespondToHead(restinio::request_t& aRequest,
                             HttpResponse aResponse,
-                            std::shared_ptr<const void> aKept)
+                            std::shared_ptr<const void> aKept,
+                            std::shared_ptr<ReadMeter> aMeter)
   {
     auto response =
       aRequest.create_response<restinio::user_controlled_output_t>(
@@ -160,7 +207,11 @@
     }
     response.set_content_length(length);
     aResponse.body.clear();
-    Finish(aRequest, std::move(aResponse), std::move(aKept), response);
+    Finish(aRequest,
+           std::move(aResponse),
+           std::move(aKept),
+           std::move(aMeter),
+           response);
   }
 
   static restinio::http_status_line_t StatusLine(int aStatus)
@@ -173,9 +224,13 @@
   static void Finish(restinio::request_t& aRequest,
                      HttpResponse aResponse,
                      std::shared_ptr<const void> aKept,
+                     std::shared_ptr<ReadMeter> aMeter,
                      Builder& aBuilder)
   {
-    bool keepAlive = aRequest.header().should_keep_alive();
+    // RESTinio reads nothing more after a request to upgrade.
+    bool keepAlive = aRequest.header().should_keep_alive() &&
+                     aRequest.header().connection() !=
+                       restinio::http_connection_header_t::upgrade;
     for (const HttpField& field : aResponse.fields) {
       if (SameFieldName(field.name, "Connection")) {
         keepAlive = keepAlive && !SameFieldName(field.value, "close");
@@ -191,8 +246,13 @@
     if (!aResponse.body.empty()) {
       aBuilder.set_body(std::move(aResponse.body));
     }
-    if (aKept) {
-      aBuilder.done([kept = std::move(aKept)](const auto&) {});
+    if (aKept || aMeter) {
+      aBuilder.done(
+        [kept = std::move(aKept), meter = std::move(aMeter)](const auto&) {
+          if (meter) {
+            meter->OnWritten();
+          }
+        });
     } else {
       aBuilder.done();
     }
@@ -225,6 +285,11 @@
     unused_.insert(aNotice.connection_id());
     open_.insert(aNotice.connection_id());
     ++accepted_;
+    if (budget_) {
+      auto meter = std::make_shared<ReadMeter>(budget_, refusal_);
+      meters_.emplace(aNotice.connection_id(), meter);
+      asio::use_service<AcceptedMeter>(context_).meter = std::move(meter);
+    }
     return;
   }
   if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
@@ -233,6 +298,7 @@
   }
   unused_.erase(aNotice.connection_id());
   open_.erase(aNotice.connection_id());
+  meters_.erase(aNotice.connection_id());
   std::vector<std::shared_ptr<Responder>> gone;
   const auto [first, last] = pending_.equal_range(aNotice.connection_id());
   for (auto entry = first; entry != last; ++entry) {
@@ -290,6 +356,18 @@
     .max_body_size(aOptions.maxBody.value());
 }
 
+/** A whole answer as bytes, for use outside of RESTinio. */
+std::string WireFormat(const HttpResponse& aResponse)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aResponse.status) + " -\r\n";
+  for (const HttpField& field : aResponse.fields) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  text += "Connection: close\r\nContent-Length: " +
+          std::to_string(aResponse.body.size()) + "\r\n\r\n";
+  return text + aResponse.body;
+}
+
 constexpr std::size_t kReadBuffer = 16U << 10U;
 // A second request is read while the first runs, so that the close of a
 // caller's connection is noticed.
@@ -302,7 +380,8 @@
   const HttpServerOptions& aOptions,
   HttpHandler aHandler)
 {
-  auto listener = std::make_shared<ConnectionListener>();
+  auto listener = std::make_shared<ConnectionListener>(
+    aContext, aOptions.readBudget, WireFormat(aOptions.refusal));
   auto port = std::make_shared<std::uint16_t>(0);
   Impl::Settings settings;
   settings.address(aOptions.endpoint.address)
@@ -374,6 +453,11 @@
   return impl_->listener->Open();
 }
 
+std::size_t HttpServer::UnfinishedRequests() const
+{
+  return impl_->listener->InRequest();
+}
+
 std::uint64_t HttpServer::AcceptedConnections() const
 {
   return impl_->listener->Accepted();
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -40,6 +40,9 @@
 
   std::size_t OpenConnections() const;
 
+  /** Requests that have begun to arrive; counted with a readBudget only. */
+  std::size_t UnfinishedRequests() const;
+
   /** Connections since the start. */
   std::uint64_t AcceptedConnections() const;
 
--- a/src/net/HttpServerOptions.h
+++ b/src/net/HttpServerOptions.h
@@ -3,9 +3,12 @@
 
 #include "lacewing/ByteCount.h"
 #include "lacewing/Endpoint.h"
+#include "net/HttpResponse.h"
+#include "net/ReadBudget.h"
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 
 namespace lacewing {
 
@@ -23,6 +26,13 @@
   std::chrono::milliseconds readTimeout{ 60000 };
   std::chrono::milliseconds writeTimeout{ 30000 };
   std::chrono::milliseconds handleTimeout{ 120000 };
+  /**
+   * Charged for requests that are not whole yet; null for no limit beyond
+   * maxBody for each connection. A request that finds it used up is answered
+   * with refusal and its connection closed.
+   */
+  std::shared_ptr<ReadBudget> readBudget;
+  HttpResponse refusal;
   /** Lets several servers of one process share the port. */
   bool reusePort = false;
 };
--- /dev/null
+++ b/src/net/ReadBudget.h
@@ -0,0 +1,22 @@
+#ifndef NET_READBUDGET_H
+#define NET_READBUDGET_H
+
+#include "lacewing/ByteCount.h"
+
+namespace lacewing {
+
+/** Where a server takes the memory for requests that are not whole yet. */
+class ReadBudget
+{
+public:
+  virtual ~ReadBudget() = default;
+
+  /** Takes nothing and returns false when the limit would be exceeded. */
+  virtual bool Take(ByteCount aBytes) = 0;
+
+  virtual void Return(ByteCount aBytes) = 0;
+};
+
+} // namespace lacewing
+
+#endif // NET_READBUDGET_H
