--- a/tests/DecisionEngineTest.cpp
+++ b/tests/DecisionEngineTest.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <map>
+
 using namespace lacewing;
 
 namespace {
@@ -147,3 +150,224 @@
   const Actions after = fix.engine->OnAnswer(sent[0].attempt, {});
   CHECK(Only<SendAttempt>(after).empty());
 }
+
+namespace {
+
+/** How a target ends an attempt, and after which time. */
+struct Behaviour
+{
+  Duration time = 10 * kMs;
+  int status = 200;
+};
+
+/** Sends a request each millisecond; returns the attempts of each target. */
+std::map<TargetId, int> Drive(
+  Fixture& aFix,
+  Duration aLength,
+  const std::function<Behaviour(const TargetId&)>& aBehaviour)
+{
+  static std::uint64_t request = 1000;
+  std::map<TargetId, int> sent;
+  std::multimap<TimePoint, std::pair<AttemptId, AttemptAnswer>> running;
+  const auto take = [&](const Actions& aActions) {
+    for (const SendAttempt& send : Only<SendAttempt>(aActions)) {
+      ++sent[send.target];
+      const Behaviour behaviour = aBehaviour(send.target);
+      AttemptAnswer answer;
+      answer.status = behaviour.status;
+      running.emplace(aFix.clock.Now() + behaviour.time,
+                      std::make_pair(send.attempt, answer));
+    }
+  };
+  const TimePoint end = aFix.clock.Now() + aLength;
+  while (aFix.clock.Now() < end) {
+    aFix.clock.Advance(kMs);
+    while (!running.empty() && running.begin()->first <= aFix.clock.Now()) {
+      const auto ended = running.extract(running.begin()).mapped();
+      take(aFix.engine->OnAnswer(ended.first, ended.second));
+    }
+    take(aFix.engine->OnTimer());
+    take(aFix.Ask(++request));
+  }
+  return sent;
+}
+
+HeldGrant MakeGrant(const Fixture& aFix, std::uint64_t aEpoch)
+{
+  HeldGrant grant;
+  grant.target = aFix.route.targets[0].id;
+  grant.epoch = Epoch(aEpoch);
+  grant.slots = SlotCount(2);
+  grant.expiry = aFix.clock.Now() + 1000 * kMs;
+  return grant;
+}
+
+} // namespace
+
+// Guards against a target that fails fast and draws the requests because it
+// looks idle.
+TEST_CASE("a target that fails fast loses its share of the requests")
+{
+  Fixture fix(10, 6);
+  const auto healthy = [](const TargetId&) { return Behaviour{}; };
+  Drive(fix, 200 * kMs, healthy);
+  const TargetId bad("t3");
+  auto sent = Drive(fix, 1000 * kMs, [&](const TargetId& aTarget) {
+    return aTarget == bad ? Behaviour{ 0 * kMs, 500 } : Behaviour{};
+  });
+  // An even share would be 100 requests.
+  CHECK(sent[bad] < 10);
+  // It gets its share again after it has recovered.
+  Drive(fix, 3000 * kMs, healthy);
+  sent = Drive(fix, 1000 * kMs, healthy);
+  CHECK(sent[bad] > 50);
+}
+
+// Guards against a target that slows down tenfold and keeps its share until
+// its answers come.
+TEST_CASE("a slow target loses its share within tens of milliseconds")
+{
+  Fixture fix(10, 6);
+  Drive(fix, 500 * kMs, [](const TargetId&) { return Behaviour{}; });
+  const TargetId slow("t3");
+  const auto behave = [&](const TargetId& aTarget) {
+    return Behaviour{ aTarget == slow ? 100 * kMs : 10 * kMs };
+  };
+  Drive(fix, 60 * kMs, behave);
+  // An even share would be 50 requests.
+  CHECK(Drive(fix, 500 * kMs, behave)[slow] < 10);
+}
+
+// Guards against sends to a target that was warm and shows a sign of
+// coldness, and against signs that are not reported.
+TEST_CASE("a sign of coldness makes a target cold until a later epoch")
+{
+  Fixture fix(1, 4);
+  const auto first = Only<SendAttempt>(fix.Ask(1));
+  AttemptAnswer answer;
+  answer.instance = InstanceId("old");
+  fix.engine->OnAnswer(first.at(0).attempt, answer);
+  const auto second = Only<SendAttempt>(fix.Ask(2));
+  const AttemptId attempt = second.at(0).attempt;
+  SUBCASE("refused")
+  {
+    fix.engine->OnAttemptFailed(attempt, AttemptFailure::kNotSent);
+  }
+  SUBCASE("lost")
+  {
+    fix.engine->OnAttemptFailed(attempt, AttemptFailure::kLost);
+  }
+  SUBCASE("changed instance")
+  {
+    answer.instance = InstanceId("new");
+    fix.engine->OnAnswer(attempt, answer);
+  }
+  SUBCASE("says so")
+  {
+    answer.cold = true;
+    fix.engine->OnAnswer(attempt, answer);
+  }
+  CHECK(fix.engine->TakeObservations().at(0).looksCold);
+  CHECK(Only<SendAttempt>(fix.Ask(3)).empty());
+  // A grant of the old epoch may come from before the restart.
+  CHECK(Only<SendAttempt>(fix.engine->OnGrants({ MakeGrant(fix, 1) })).empty());
+  CHECK(Only<SendAttempt>(fix.Publish()).empty());
+  fix.engine->OnGrants({ MakeGrant(fix, 2) });
+  CHECK(fix.engine->TakeObservations().at(0).inFlight > SlotCount(0));
+  fix.route.targets[0].epoch = Epoch(2);
+  fix.Publish();
+  CHECK_FALSE(Only<SendAttempt>(fix.Ask(4)).empty());
+}
+
+// Guards against new work for a target that says it is draining (I7).
+TEST_CASE("a draining target gets no new work")
+{
+  Fixture fix(1, 2);
+  AttemptAnswer answer;
+  answer.draining = true;
+  fix.engine->OnAnswer(Only<SendAttempt>(fix.Ask(1)).at(0).attempt, answer);
+  CHECK(Only<SendAttempt>(fix.Ask(2)).empty());
+  fix.Publish();
+  CHECK(Only<SendAttempt>(fix.Ask(3)).empty());
+}
+
+// Guards against a burst on one service that takes the waiting places of the
+// others.
+TEST_CASE("a burst on one service leaves waiting places to another")
+{
+  EngineOptions options;
+  options.maxWaiting = 100;
+  options.maxWaitingTotal = 100;
+  Fixture fix(1, 1, options);
+  auto snapshot = std::make_shared<RoutingSnapshot>();
+  for (const char* name : { "burst", "quiet" }) {
+    auto route = std::make_shared<ServiceRoute>(fix.route);
+    route->id = ServiceId(name);
+    route->targets[0].id = TargetId(name);
+    snapshot->services[route->id] = route;
+  }
+  fix.engine->OnSnapshot(snapshot);
+  const auto ask = [&](std::uint64_t aId, const char* aService) {
+    RequestInfo info;
+    info.id = RequestId(aId);
+    info.service = ServiceId(aService);
+    return Only<FinishRequest>(fix.engine->OnRequest(info));
+  };
+  for (std::uint64_t i = 1; i <= 101; ++i) {
+    CHECK(ask(i, "burst").empty());
+  }
+  CHECK(ask(102, "burst").at(0).reason == FinishReason::kOverload);
+  CHECK(ask(103, "quiet").empty());
+  const auto evicted = ask(104, "quiet");
+  REQUIRE(evicted.size() == 1);
+  CHECK(evicted[0].request == RequestId(101));
+  CHECK(evicted[0].disposition == Disposition::kNotRun);
+}
+
+// Guards against requests that wait although they cannot be served in time.
+TEST_CASE("a request is refused at once when the wait exceeds its time")
+{
+  Fixture fix(1, 1);
+  Drive(fix, 100 * kMs, [](const TargetId&) { return Behaviour{ 10 * kMs }; });
+  RequestInfo info;
+  info.id = RequestId(1);
+  info.service = fix.route.id;
+  info.callerDeadline = 20 * kMs;
+  const auto ends = Only<FinishRequest>(fix.engine->OnRequest(info));
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].reason == FinishReason::kDeadlineBeforeSend);
+  CHECK(ends[0].disposition == Disposition::kNotRun);
+}
+
+// Guards against retries that multiply an outage along a call chain.
+TEST_CASE("retries stay within the budget")
+{
+  Fixture fix(20, 6);
+  int sent = 0;
+  for (std::uint64_t i = 1; i <= 2000; ++i) {
+    Actions actions = fix.Ask(i, "GET");
+    for (auto sends = Only<SendAttempt>(actions); !sends.empty();
+         sends = Only<SendAttempt>(actions)) {
+      ++sent;
+      AttemptAnswer shed;
+      shed.status = 503;
+      shed.notRun = true;
+      actions = fix.engine->OnAnswer(sends[0].attempt, shed);
+    }
+    fix.clock.Advance(kMs);
+    fix.engine->OnTimer();
+  }
+  CHECK(sent > 2000);
+  CHECK(sent <= 2000 + 2000 / 10 + 50);
+}
+
+// Guards against a misspelled strategy that is replaced silently.
+TEST_CASE("an unknown strategy is an error that names the known ones")
+{
+  ManualClock clock;
+  EngineOptions options;
+  options.strategy = "zone-slot";
+  const auto engine = RequestEngine::Make(clock, options);
+  REQUIRE_FALSE(engine);
+  CHECK(engine.error().remedy.find("zone-slots") != std::string::npos);
+}
