Ask again for a refused configuration; show grants and bad frames

Cause: controld answers each want once, so after a refused set entryd would have waited for its next connection. Measured: lacewing_tests -tc='only complete*' and lacewing_process_tests -tc='entryd*' pass; with the new want switched off the former fails at its wait for it.

--- a/src/entry/EntryControl.cpp
+++ b/src/entry/EntryControl.cpp
@@ -15,6 +15,10 @@
 // go with them.
 constexpr std::chrono::milliseconds kTickPeriod(100);
 
+// controld answers each want once, so a refused set has to be asked for anew;
+// the pause bounds the cost of a set that stays invalid.
+constexpr unsigned kTicksToRetry = 10;
+
 HelloMessage MakeHello(const EntrySettings& aSettings, Incarnation aIncarnation)
 {
   HelloMessage hello;
@@ -136,6 +140,7 @@
         "config-refused",
         { { "version", std::to_string(aPart.version.value()) },
           { "error", complete.error().ToString() } });
+    ticksToWant_ = kTicksToRetry;
     return;
   }
   if (!complete.value()) {
@@ -212,6 +217,12 @@
 
 void EntryControl::Tick()
 {
+  state_.granted = grants_.HeldSlots();
+  state_.badFrames = link_->BadFrames();
+  state_.unknownFrames = link_->UnknownFrames();
+  if (ticksToWant_ > 0 && --ticksToWant_ == 0) {
+    link_->Send(configs_.Want());
+  }
   SendReports();
   PostGrants();
   GrantReturnMessage returns{ grants_.TakeReturns() };
--- a/src/entry/EntryControl.h
+++ b/src/entry/EntryControl.h
@@ -70,6 +70,8 @@
   GrantBook grants_;
   EntryState state_;
   asio::steady_timer tick_;
+  /** Ticks until the configuration is asked for again; zero for never. */
+  unsigned ticksToWant_ = 0;
   /** Empty without a controld. */
   std::unique_ptr<ControldLink> link_;
 };
--- a/src/entry/EntryDump.cpp
+++ b/src/entry/EntryDump.cpp
@@ -49,20 +49,26 @@
   return sums;
 }
 
-json DumpService(const ServiceRoute& aRoute, const SumMap& aSums)
+json DumpService(const ServiceRoute& aRoute,
+                 const SumMap& aSums,
+                 const EntryState& aState)
 {
   json targets = json::array();
   for (const TargetRoute& target : aRoute.targets) {
     const auto found = aSums.find(target.id);
     const TargetSums sums = found == aSums.end() ? TargetSums() : found->second;
-    targets.push_back({ { "id", target.id.value() },
-                        { "endpoint", target.endpoint.ToString() },
-                        { "zone", target.zone.value() },
-                        { "phase", ToString(target.phase) },
-                        { "epoch", target.epoch.value() },
-                        { "instance", sums.instance.value() },
-                        { "in_flight", sums.inFlight },
-                        { "waiting", sums.wanted } });
+    const auto granted = aState.granted.find(target.id);
+    targets.push_back(
+      { { "id", target.id.value() },
+        { "endpoint", target.endpoint.ToString() },
+        { "zone", target.zone.value() },
+        { "phase", ToString(target.phase) },
+        { "epoch", target.epoch.value() },
+        { "instance", sums.instance.value() },
+        { "granted",
+          granted == aState.granted.end() ? 0 : granted->second.value() },
+        { "in_flight", sums.inFlight },
+        { "waiting", sums.wanted } });
   }
   return { { "slots", aRoute.slots.value() },
            { "connections", aRoute.connections.value() },
@@ -93,7 +99,7 @@
     version = aState.snapshot->version;
     const SumMap sums = SumObservations(aState);
     for (const auto& [id, route] : aState.snapshot->services) {
-      services[id.value()] = DumpService(*route, sums);
+      services[id.value()] = DumpService(*route, sums, aState);
     }
   }
   const json dump = { { "role", "entryd" },
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -34,6 +34,14 @@
                  aState.snapshot
                    ? static_cast<double>(aState.snapshot->version.value())
                    : 0);
+  aPage.AddCounter("lacewing_bad_frames_total",
+                   "Frames of controld that were refused.",
+                   {},
+                   aState.badFrames);
+  aPage.AddCounter("lacewing_unknown_frames_total",
+                   "Frames of controld of an unknown kind.",
+                   {},
+                   aState.unknownFrames);
   aPage.AddGauge("lacewing_controld_connected",
                  "1 while the connection to controld is open.",
                  {},
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -4,6 +4,8 @@
 #include "decision/RoutingSnapshot.h"
 #include "entry/WorkerReport.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -16,6 +18,11 @@
   std::shared_ptr<const RoutingSnapshot> snapshot;
   bool stopping = false;
   bool controldConnected = false;
+  /** Frames from controld that were refused, and of unknown kinds. */
+  std::uint64_t badFrames = 0;
+  std::uint64_t unknownFrames = 0;
+  /** Slots held as grants, for targets that are not warm. */
+  std::map<TargetId, SlotCount> granted;
   /** The last report of each worker, by WorkerId. */
   std::vector<WorkerReport> reports;
 
--- a/src/entry/GrantBook.cpp
+++ b/src/entry/GrantBook.cpp
@@ -278,12 +278,15 @@
   return returns;
 }
 
-SlotCount GrantBook::HeldSlots(const TargetId& aTarget) const
+std::map<TargetId, SlotCount> GrantBook::HeldSlots() const
 {
-  const auto found = grants_.find(aTarget);
-  return found == grants_.end() || clock_.Now() >= found->second.expiry
-           ? SlotCount(0)
-           : found->second.slots;
+  std::map<TargetId, SlotCount> held;
+  for (const auto& [target, grant] : grants_) {
+    if (!Ends(grant)) {
+      held.emplace(target, grant.slots);
+    }
+  }
+  return held;
 }
 
 TargetGrant& GrantBook::GrantOf(const TargetId& aTarget)
--- a/src/entry/GrantBook.h
+++ b/src/entry/GrantBook.h
@@ -54,8 +54,8 @@
 
   bool empty() const { return grants_.empty(); }
 
-  /** Slots held for a target, for the dump page. */
-  SlotCount HeldSlots(const TargetId& aTarget) const;
+  /** Slots that may be used now, for the dump page. */
+  std::map<TargetId, SlotCount> HeldSlots() const;
 
 private:
   TargetGrant& GrantOf(const TargetId& aTarget);
--- a/tests/EntryControldTest.cpp
+++ b/tests/EntryControldTest.cpp
@@ -102,6 +102,12 @@
     return {};
   }
 
+  void Forget(const char* aKind)
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    frames_.erase(aKind);
+  }
+
   void Disconnect()
   {
     asio::post(context_, [this] { server_->Disconnect(connection_); });
@@ -213,7 +219,16 @@
   const nlohmann::json report = controld.Await("target_report");
   CHECK(report["targets"][0]["instance"] == "i");
 
-  // The connection is back, and a complete set still comes into force.
+  // The connection is back. A set that lacks its objects is asked for again,
+  // and a complete one still comes into force.
+  controld.Await("config_want");
+  ConfigMessage empty;
+  empty.version = ConfigVersion(8);
+  empty.last = true;
+  empty.entries = { { "service/s", std::string(32, '0') } };
+  controld.Forget("config_want");
+  controld.Send(empty);
+  CHECK(controld.Await("config_want")["version"] == 5);
   controld.SendConfig(Config(7, {}));
   CHECK(AwaitStatus(caller, entry.Callers(), 503) == 503);
 }
