Copy fewer header fields

Cause: 22 % of entryd's CPU time is the C library, mostly allocation; fields were copied at each step. Change: hop-by-hop fields are removed in place, once for each message.

--- a/src/entry/AnswerWriter.cpp
+++ b/src/entry/AnswerWriter.cpp
@@ -3,7 +3,10 @@
 #include "entry/HopFields.h"
 #include "entry/StatusTable.h"
 
+#include <algorithm>
 #include <charconv>
+#include <optional>
+#include <utility>
 
 namespace lacewing {
 
@@ -60,17 +63,18 @@
 
 HttpResponse WriteTargetAnswer(HttpResponse aAnswer)
 {
-  HttpResponse response;
-  response.status = aAnswer.status;
-  response.fields = EndToEndFields(aAnswer.fields);
-  response.fields.Set(kOutcomeField, ToString(Disposition::kRan));
-  response.fields.Set(kReasonField, ToString(FinishReason::kAnswered));
   // The length of the body that a GET would bring answers a HEAD.
-  if (const std::string* length = aAnswer.fields.Find("Content-Length")) {
-    response.fields.Add("Content-Length", *length);
+  std::optional<std::string> length;
+  if (const std::string* given = aAnswer.fields.Find("Content-Length")) {
+    length = *given;
   }
-  response.body = std::move(aAnswer.body);
-  return response;
+  aAnswer.fields = EndToEndFields(std::move(aAnswer.fields));
+  aAnswer.fields.Set(kOutcomeField, ToString(Disposition::kRan));
+  aAnswer.fields.Set(kReasonField, ToString(FinishReason::kAnswered));
+  if (length) {
+    aAnswer.fields.Add("Content-Length", *std::move(length));
+  }
+  return aAnswer;
 }
 
 HttpResponse WriteOwnAnswer(const FinishRequest& aFinish)
--- a/src/entry/HopFields.cpp
+++ b/src/entry/HopFields.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
+#include <vector>
 
 namespace lacewing {
 
@@ -54,20 +56,20 @@
 
 } // namespace
 
-HttpFields EndToEndFields(const HttpFields& aFields)
+HttpFields EndToEndFields(HttpFields aFields)
 {
-  HttpFields kept;
-  for (const HttpField& field : aFields) {
-    if (!IsHopField(field.name)) {
-      kept.Add(field.name, field.value);
-    }
-  }
+  std::vector<std::string> lists;
   for (const HttpField& field : aFields) {
     if (SameFieldName(field.name, "Connection")) {
-      RemoveListed(field.value, kept);
+      lists.push_back(field.value);
     }
   }
-  return kept;
+  aFields.RemoveIf(
+    [](const HttpField& aField) { return IsHopField(aField.name); });
+  for (const std::string& list : lists) {
+    RemoveListed(list, aFields);
+  }
+  return aFields;
 }
 
 } // namespace lacewing
--- a/src/entry/HopFields.h
+++ b/src/entry/HopFields.h
@@ -6,11 +6,11 @@
 namespace lacewing {
 
 /**
- * Copies the fields that pass through a proxy: without the hop-by-hop fields
+ * Keeps the fields that pass through a proxy: without the hop-by-hop fields
  * of RFC 9110 section 7.6.1, those that Connection names, and Content-Length
  * and Expect, which each hop sets anew.
  */
-HttpFields EndToEndFields(const HttpFields& aFields);
+HttpFields EndToEndFields(HttpFields aFields);
 
 } // namespace lacewing
 
--- a/src/entry/PendingRequest.h
+++ b/src/entry/PendingRequest.h
@@ -21,6 +21,7 @@
   std::string method;
   /** Path and query for the target. */
   std::string target;
+  /** Without hop-by-hop fields. */
   HttpFields fields;
   std::shared_ptr<const std::string> body;
   std::shared_ptr<BufferCharge> charge;
--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -1,6 +1,7 @@
 #include "entry/RequestForwarder.h"
 
 #include "entry/AnswerWriter.h"
+#include "entry/HopFields.h"
 #include "entry/StatusTable.h"
 
 #include <algorithm>
@@ -100,12 +101,12 @@
   pending.responder = std::move(aResponder);
   pending.method = std::move(aRequest.method);
   pending.target = std::move(translated.target);
-  pending.fields = std::move(aRequest.fields);
   if (bodySize > ByteCount(0) ||
-      pending.fields.Find("Content-Length") != nullptr) {
+      aRequest.fields.Find("Content-Length") != nullptr) {
     pending.body =
       std::make_shared<const std::string>(std::move(aRequest.body));
   }
+  pending.fields = EndToEndFields(std::move(aRequest.fields));
   pending.charge = std::move(charge);
   pending.arrival = clock_.Now();
   pending.responder->OnGone([this, id] { OnCallerGone(id); });
--- a/src/entry/RequestTranslator.cpp
+++ b/src/entry/RequestTranslator.cpp
@@ -1,7 +1,5 @@
 #include "entry/RequestTranslator.h"
 
-#include "entry/HopFields.h"
-
 #include <algorithm>
 #include <charconv>
 
@@ -96,17 +94,16 @@
   return translated;
 }
 
-HttpFields RequestTranslator::FieldsForTarget(const HttpFields& aFields,
+HttpFields RequestTranslator::FieldsForTarget(HttpFields aFields,
                                               const std::string& aRequestId,
                                               Duration aRemaining)
 {
-  HttpFields fields = EndToEndFields(aFields);
   const auto remaining =
     std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining);
-  fields.Set(kDeadlineField,
-             std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  fields.Set(kRequestIdField, aRequestId);
-  return fields;
+  aFields.Set(kDeadlineField,
+              std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  aFields.Set(kRequestIdField, aRequestId);
+  return aFields;
 }
 
 } // namespace lacewing
--- a/src/entry/RequestTranslator.h
+++ b/src/entry/RequestTranslator.h
@@ -22,8 +22,9 @@
   std::variant<TranslatedRequest, RefusalReason> Translate(
     const HttpRequest& aRequest) const;
 
-  /** Fields for the target; aRemaining is the time left. */
-  static HttpFields FieldsForTarget(const HttpFields& aFields,
+  /** aFields without hop-by-hop fields, with ours; aRemaining is the time
+   * left. */
+  static HttpFields FieldsForTarget(HttpFields aFields,
                                     const std::string& aRequestId,
                                     Duration aRemaining);
 
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -209,6 +209,11 @@
   while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
     value.remove_suffix(1);
   }
+  // As many as an ordinary answer has.
+  constexpr std::size_t kUsualFields = 8;
+  if (response_.fields.size() == 0) {
+    response_.fields.Reserve(kUsualFields);
+  }
   response_.fields.Add(std::string(aLine.substr(0, colon)), std::string(value));
 }
 
--- a/src/net/HttpFields.h
+++ b/src/net/HttpFields.h
@@ -3,6 +3,7 @@
 
 #include "net/HttpField.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,17 @@
 
   void Remove(std::string_view aName);
 
+  /** Removes the fields for which aCondition returns true. */
+  template<class Condition>
+  void RemoveIf(Condition aCondition)
+  {
+    fields_.erase(std::remove_if(fields_.begin(), fields_.end(), aCondition),
+                  fields_.end());
+  }
+
+  /** Makes room for aCount fields. */
+  void Reserve(std::size_t aCount) { fields_.reserve(aCount); }
+
   /** The first value of that name, or null. */
   const std::string* Find(std::string_view aName) const;
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -317,6 +317,7 @@
   HttpRequest request;
   request.method = aRequest.header().method().c_str();
   request.target = aRequest.header().request_target();
+  request.fields.Reserve(aRequest.header().fields_count());
   aRequest.header().for_each_field([&request](const auto& aField) {
     request.fields.Add(aField.name(), aField.value());
   });
