--- a/src/entry/RequestTranslator.cpp
+++ b/src/entry/RequestTranslator.cpp
@@ -1,7 +1,5 @@
 #include "entry/RequestTranslator.h"
 
-#include "entry/HopFields.h"
-
 #include <algorithm>
 #include <charconv>
 
@@ -40,6 +38,15 @@
   return std::chrono::milliseconds(value);
 }
 
+/** The server does not read the body of a request to upgrade. */
+bool UpgradesWithBody(const HttpFields& aFields)
+{
+  const std::string* length = aFields.Find("Content-Length");
+  return aFields.Find("Upgrade") != nullptr &&
+         (aFields.Find("Transfer-Encoding") != nullptr ||
+          (length != nullptr && *length != "0"));
+}
+
 std::size_t FieldBytes(const HttpFields& aFields)
 {
   std::size_t bytes = 0;
@@ -62,7 +69,8 @@
   }
   // A HEAD with a body would leave the target's connection out of step.
   if (!IsPlainTarget(aRequest.target) || aRequest.method == "CONNECT" ||
-      (aRequest.method == "HEAD" && !aRequest.body.empty())) {
+      (aRequest.method == "HEAD" && !aRequest.body.empty()) ||
+      UpgradesWithBody(aRequest.fields)) {
     return RefusalReason::kBadRequest;
   }
   TranslatedRequest translated;
@@ -86,17 +94,16 @@
   return translated;
 }
 
-HttpFields RequestTranslator::FieldsForTarget(const HttpFields& aFields,
+HttpFields RequestTranslator::FieldsForTarget(HttpFields aFields,
                                               const std::string& aRequestId,
                                               Duration aRemaining)
 {
-  HttpFields fields = EndToEndFields(aFields);
   const auto remaining =
     std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining);
-  fields.Set(kDeadlineField,
-             std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  fields.Set(kRequestIdField, aRequestId);
-  return fields;
+  aFields.Set(kDeadlineField,
+              std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  aFields.Set(kRequestIdField, aRequestId);
+  return aFields;
 }
 
 } // namespace lacewing
