--- a/src/load/RunCheck.cpp
+++ b/src/load/RunCheck.cpp
@@ -142,6 +142,12 @@
   return true;
 }
 
+PhaseCheck RunCheck::Phase(const std::string& aName) const
+{
+  const auto found = phases_.find(aName);
+  return found == phases_.end() ? PhaseCheck() : found->second;
+}
+
 std::string RunCheck::ToTable() const
 {
   constexpr const char* kHeader =
@@ -160,9 +166,7 @@
                                   "runs by group");
   for (const nlohmann::json& phase : result_.at("phases")) {
     const std::string name = phase.at("name");
-    const auto found = phases_.find(name);
-    const PhaseCheck check =
-      found == phases_.end() ? PhaseCheck() : found->second;
+    const PhaseCheck check = Phase(name);
     std::string runs;
     for (const std::uint64_t count : check.runs) {
       runs += fmt::format("{:>8}", count);
--- a/src/load/RunCheck.h
+++ b/src/load/RunCheck.h
@@ -21,6 +21,9 @@
   /** Whether each phase passed; a phase without requests passes. */
   bool Passed() const;
 
+  /** The phase of that name; one without requests is empty. */
+  PhaseCheck Phase(const std::string& aName) const;
+
   /** One row a phase: answers, latency, runs a group, and violations. */
   std::string ToTable() const;
 
