Let the limit for slow answers follow the service's mix of work

Cause: with one request in ten taking ten times as long, long requests counted as signs of slow targets and kept healthy targets out of use.

--- a/bench/DecisionModel.h
+++ b/bench/DecisionModel.h
@@ -114,8 +114,10 @@
     std::mt19937_64 random(seed_);
     const double mean =
       std::chrono::duration<double>(scenario_.meanService).count();
+    const double longer =
+      scenario_.longEach > 0 ? 1 + 9.0 / scenario_.longEach : 1;
     const double rate =
-      scenario_.load * scenario_.targets * scenario_.slots / mean;
+      scenario_.load * scenario_.targets * scenario_.slots / (mean * longer);
     std::exponential_distribution<double> gap(1);
     std::exponential_distribution<double> service(1);
     const TimePoint end = start_ + scenario_.length;
@@ -125,8 +127,11 @@
       const bool fault = since >= Duration(0) && since < scenario_.faultLength;
       const double now = fault ? rate * scenario_.burst : rate;
       time += Seconds(gap(random) / now);
+      const bool isLong =
+        scenario_.longEach > 0 && random() % scenario_.longEach == 0;
+      const double work = mean * (0.2 + 0.8 * service(random));
       arrivals_.push_back({ time,
-                            Seconds(mean * (0.2 + 0.8 * service(random))),
+                            Seconds(isLong ? 10 * work : work),
                             random() % scenario_.hosts });
     }
   }
--- a/bench/DecisionScenario.h
+++ b/bench/DecisionScenario.h
@@ -22,6 +22,8 @@
   Duration farTime = std::chrono::microseconds(1500);
   Duration nearTime = std::chrono::microseconds(250);
   Duration meanService = std::chrono::milliseconds(10);
+  /** One request in this many takes ten times the mean; 0 for none. */
+  unsigned longEach = 0;
   /** Part of all slots that the requests keep busy on average. */
   double load = 0.7;
   Duration reportPeriod = std::chrono::milliseconds(100);
--- a/bench/decision_strategies.cpp
+++ b/bench/decision_strategies.cpp
@@ -37,6 +37,7 @@
       DecisionScenario slow = stale;
       DecisionScenario burst = stale;
       DecisionScenario uneven = stale;
+      DecisionScenario mixed = stale;
       stale.name += ", stale reports";
       all.push_back(stale);
       slow.name += ", slow target";
@@ -50,6 +51,9 @@
       uneven.name += ", all hosts in one zone";
       uneven.hostZones = 1;
       all.push_back(uneven);
+      mixed.name += ", mixed work";
+      mixed.longEach = 10;
+      all.push_back(mixed);
     }
   }
   return all;
--- a/src/decision/RoutingContext.h
+++ b/src/decision/RoutingContext.h
@@ -26,6 +26,8 @@
   SlotCount limit;
   /** Usual answer time of the service; zero when unknown. */
   Duration typical{ 0 };
+  /** Answer time that shows a slow target; zero when unknown. */
+  Duration slow{ 0 };
   /** Mean of other workers' requests in progress at a target. */
   double usualOthers = 0;
   /** How long the request has waited so far. */
@@ -41,7 +43,7 @@
   }
   double Penalty(const TargetView& aTarget) const
   {
-    return aTarget.Penalty(now, typical);
+    return aTarget.Penalty(now, slow);
   }
   /** Requests in progress at the target, those of others estimated. */
   double InFlight(const TargetView& aTarget) const
--- a/src/decision/ServiceState.cpp
+++ b/src/decision/ServiceState.cpp
@@ -56,14 +56,11 @@
                                         TimePoint aNow,
                                         std::mt19937_64& aRandom)
 {
-  RoutingContext context{ aNow,
-                          targets_,
-                          aRandom,
-                          route_->slots,
-                          ConnectionLimit(),
-                          typical_.Value(),
-                          usualOthers_,
-                          aNow - aRequest.arrived };
+  RoutingContext context{
+    aNow,          targets_,          aRandom,
+    route_->slots, ConnectionLimit(), typical_.Value(),
+    slow_.Value(), usualOthers_,      aNow - aRequest.arrived
+  };
   if (targets_.size() > 1) {
     context.avoid = aRequest.last.get();
   }
@@ -90,9 +87,10 @@
                               const AttemptAnswer& aAnswer)
 {
   --inFlight_;
-  aTarget.OnAnswered(aNow, aSent, aAnswer, typical_.Value());
+  aTarget.OnAnswered(aNow, aSent, aAnswer, slow_.Value());
   if (!aAnswer.notRun && aAnswer.status < 500) {
     typical_.Add(aNow - aSent);
+    slow_.Add(aNow - aSent, typical_.Value());
   }
   if (aAnswer.reportedLoad && route_) {
     const double others =
@@ -120,7 +118,7 @@
                                TimePoint aSent)
 {
   --inFlight_;
-  aTarget.OnCancelled(aNow, aSent, typical_.Value());
+  aTarget.OnCancelled(aNow, aSent, slow_.Value());
 }
 
 Duration ServiceState::ExpectedWait() const
--- a/src/decision/ServiceState.h
+++ b/src/decision/ServiceState.h
@@ -6,6 +6,7 @@
 #include "decision/RetryBudget.h"
 #include "decision/RoutingStrategy.h"
 #include "decision/ServiceRoute.h"
+#include "decision/SlowLimit.h"
 #include "decision/TargetView.h"
 #include "decision/WaitQueue.h"
 #include "lacewing/ZoneId.h"
@@ -75,6 +76,7 @@
   WaitQueue waiting_;
   RetryBudget retries_;
   LatencyAverage typical_;
+  SlowLimit slow_;
   /** Mean of other workers' requests in progress at a target. */
   double usualOthers_ = 0;
   std::size_t inFlight_ = 0;
--- a/src/decision/TargetView.cpp
+++ b/src/decision/TargetView.cpp
@@ -16,9 +16,6 @@
 constexpr double kMostFailureLoad = 8 * kFailureLoad;
 // One failure keeps a target out for about 0.75 s, repeated ones for 1.5 s.
 constexpr Duration kFailureHalfLife = std::chrono::milliseconds(250);
-// Answers and requests in progress that take this multiple of the usual time
-// show a slow target; lower values punish targets for single long requests.
-constexpr int kSlowFactor = 5;
 // Reports describe the load of a moment; with service times of about 10 ms
 // half of what they say is outdated after this time.
 constexpr Duration kReportHalfLife = std::chrono::milliseconds(20);
@@ -53,11 +50,11 @@
   return aUsual + excess.At(aNow);
 }
 
-double TargetView::Penalty(TimePoint aNow, Duration aTypical) const
+double TargetView::Penalty(TimePoint aNow, Duration aSlow) const
 {
   double penalty = failures_.At(aNow);
-  if (!sent_.empty() && aTypical > Duration(0)) {
-    const Duration overdue = aNow - sent_.front() - kSlowFactor * aTypical;
+  if (!sent_.empty() && aSlow > Duration(0)) {
+    const Duration overdue = aNow - sent_.front() - aSlow;
     if (overdue > Duration(0)) {
       penalty += kFailureLoad;
     }
@@ -112,7 +109,7 @@
 void TargetView::OnAnswered(TimePoint aNow,
                             TimePoint aSent,
                             const AttemptAnswer& aAnswer,
-                            Duration aTypical)
+                            Duration aSlow)
 {
   Leave(aSent);
   if (aAnswer.reportedLoad) {
@@ -146,7 +143,7 @@
   latency_ = latency_ == Duration(0)
                ? latency
                : latency_ + (latency - latency_) / kLatencyWeight;
-  if (aTypical > Duration(0) && latency > kSlowFactor * aTypical) {
+  if (aSlow > Duration(0) && latency > aSlow) {
     ++slowAnswers_;
     AddFailure(aNow);
   } else {
@@ -167,10 +164,10 @@
   }
 }
 
-void TargetView::OnCancelled(TimePoint aNow, TimePoint aSent, Duration aTypical)
+void TargetView::OnCancelled(TimePoint aNow, TimePoint aSent, Duration aSlow)
 {
   Leave(aSent);
-  if (aTypical > Duration(0) && aNow - aSent > kSlowFactor * aTypical) {
+  if (aSlow > Duration(0) && aNow - aSent > aSlow) {
     AddFailure(aNow);
   }
 }
--- a/src/decision/TargetView.h
+++ b/src/decision/TargetView.h
@@ -43,10 +43,10 @@
   double OthersInFlight(TimePoint aNow, SlotCount aSlots, double aUsual) const;
   /**
    * Load in requests that stands for recent failures, slow answers and a
-   * request that is overdue; aTypical is the service's usual answer time.
+   * request that is overdue; aSlow is the service's SlowLimit.
    */
-  double Penalty(TimePoint aNow, Duration aTypical) const;
-  /** Consecutive answers that took a multiple of the usual time. */
+  double Penalty(TimePoint aNow, Duration aSlow) const;
+  /** Consecutive answers beyond the service's SlowLimit. */
   unsigned SlowAnswers() const { return slowAnswers_; }
 
   /** Takes over phase and epoch. */
@@ -63,10 +63,10 @@
   void OnAnswered(TimePoint aNow,
                   TimePoint aSent,
                   const AttemptAnswer& aAnswer,
-                  Duration aTypical);
+                  Duration aSlow);
   void OnFailed(TimePoint aNow, TimePoint aSent, AttemptFailure aFailure);
-  /** aTypical as for Penalty. */
-  void OnCancelled(TimePoint aNow, TimePoint aSent, Duration aTypical);
+  /** aSlow as for Penalty. */
+  void OnCancelled(TimePoint aNow, TimePoint aSent, Duration aSlow);
   /** Slots for which a grant is wanted. */
   void OnWanted(SlotCount aSlots) { wanted_ = aSlots; }
   /** Treats a warm target as cold until a later epoch arrives. */
