Drop single answer times from zone-slots

Cause: they decided between equal targets, told more of the work than of a queue, and led hosts of one zone to the same targets. Change: zone-slots uses own requests, failures and the zone preference.

--- a/src/decision/TargetView.cpp
+++ b/src/decision/TargetView.cpp
@@ -139,7 +139,6 @@
   ++answered_;
   const Duration latency = aNow - aSent;
   lastAnswer_ = aNow;
-  lastLatency_ = latency;
   latency_ = latency_ == Duration(0)
                ? latency
                : latency_ + (latency - latency_) / kLatencyWeight;
--- a/src/decision/TargetView.h
+++ b/src/decision/TargetView.h
@@ -30,9 +30,8 @@
   }
   /** Moving average of answer times; zero when none. */
   Duration Latency() const { return latency_; }
-  /** When the last answer came, and how long it took. */
+  /** When the last answer came. */
   TimePoint LastAnswer() const { return lastAnswer_; }
-  Duration LastLatency() const { return lastLatency_; }
   const LoadReport& Report() const { return report_; }
   /** Own requests in progress beyond those at the time of the report. */
   double SentSinceReport() const;
@@ -88,7 +87,6 @@
   SlotCount wanted_;
   TimePoint drainingUntil_;
   TimePoint lastAnswer_;
-  Duration lastLatency_{ 0 };
   Duration latency_{ 0 };
   LoadReport report_;
   DecayingValue failures_;
--- a/src/decision/ZoneSlotsStrategy.cpp
+++ b/src/decision/ZoneSlotsStrategy.cpp
@@ -1,18 +1,10 @@
 #include "decision/RoutingStrategyPriv.h"
 #include "decision/ZonePreference.h"
 
-#include <cmath>
-
 namespace lacewing {
 
 namespace {
 
-// An answer that took longer than usual is a sign of a queue at the target.
-// The sign is noisy, because work differs: it decides between targets with
-// as many own requests rather than outweighing one.
-constexpr double kQueueWeight = 0.3;
-constexpr Duration kQueueTime = std::chrono::milliseconds(20);
-constexpr Duration kQueueForgotten = 5 * kQueueTime;
 // A request that has waited this multiple of the usual answer time takes a
 // target with recent failures rather than wait on.
 constexpr int kMostWait = 4;
@@ -21,8 +13,10 @@
  * Takes the target with the fewest own requests, failures counted as load,
  * among those with a slot that the own requests leave free, and prefers the
  * own zone. Reported loads are not used: when they are some service times
- * old, all hosts move to the same targets at once. Preferring the own zone
- * also makes fewer hosts share a target, so that the own requests tell more.
+ * old, all hosts move to the same targets at once. Neither are single answer
+ * times, since they tell more of the work than of a queue. Preferring the own
+ * zone also makes fewer hosts share a target, so that the own requests tell
+ * more.
  */
 class ZoneSlotsStrategy final : public RoutingStrategy
 {
@@ -45,8 +39,7 @@
       ++usable;
       const double penalty = aContext.Penalty(target);
       const double own = target.InFlight().value() + penalty;
-      const double load = own + QueueSign(aContext, target) +
-                          (target.InOwnZone() ? 0 : preference_.Value());
+      const double load = own + (target.InOwnZone() ? 0 : preference_.Value());
       any.Offer(i, load);
       if (own < aContext.slots.value()) {
         free.Offer(i, load);
@@ -85,22 +78,6 @@
     return aIndex + 1 == aCount ? 0 : aIndex + 1;
   }
 
-  static double QueueSign(const RoutingContext& aContext,
-                          const TargetView& aTarget)
-  {
-    const Duration age = aContext.now - aTarget.LastAnswer();
-    const Duration excess = aTarget.LastLatency() - aTarget.Latency();
-    if (excess <= Duration(0) || age > kQueueForgotten ||
-        aContext.typical == Duration(0)) {
-      return 0;
-    }
-    const double ratio = std::chrono::duration<double>(excess) /
-                         std::chrono::duration<double>(aContext.typical);
-    return kQueueWeight * std::min(1.0, ratio) *
-           std::exp(-std::chrono::duration<double>(age) /
-                    std::chrono::duration<double>(kQueueTime));
-  }
-
   ZonePreference preference_;
 };
 
