Split the return of a grant into withdrawal and idleness

Cause: workers learn of a withdrawn grant later than the control thread, which could have returned it while a worker still used it. Change: GrantHolder::Withdraw, AwaitsReturn and OnIdle replace OnReleased and IsOver; a grant is returned once, after its time or its withdrawal.

--- a/src/decision/GrantHolder.cpp
+++ b/src/decision/GrantHolder.cpp
@@ -61,22 +61,34 @@
   return true;
 }
 
-std::optional<GrantReturn> GrantHolder::OnReleased(const TargetId& aTarget)
+void GrantHolder::Withdraw(const TargetId& aTarget)
 {
   const auto found = entries_.find(aTarget);
-  if (found == entries_.end() || !found->second.held) {
-    return std::nullopt;
+  if (found != entries_.end()) {
+    found->second.held.reset();
   }
-  found->second.held.reset();
-  return GrantReturn{ asker_, aTarget, found->second.last };
 }
 
-bool GrantHolder::IsOver(const TargetId& aTarget, Epoch aEpoch) const
+bool GrantHolder::AwaitsReturn(const TargetId& aTarget) const
 {
   const auto found = entries_.find(aTarget);
-  return found != entries_.end() && found->second.held &&
-         (found->second.held->expiry <= clock_.Now() ||
-          found->second.held->epoch < aEpoch);
+  if (found == entries_.end()) {
+    return false;
+  }
+  const Entry& entry = found->second;
+  const bool used = entry.held && clock_.Now() < entry.held->expiry;
+  return !used && entry.returned < entry.last;
+}
+
+std::optional<GrantReturn> GrantHolder::OnIdle(const TargetId& aTarget)
+{
+  if (!AwaitsReturn(aTarget)) {
+    return std::nullopt;
+  }
+  Entry& entry = entries_.at(aTarget);
+  entry.held.reset();
+  entry.returned = entry.last;
+  return GrantReturn{ asker_, aTarget, entry.last };
 }
 
 std::vector<HeldGrant> GrantHolder::HeldBy(std::size_t aWorker,
--- a/src/decision/GrantHolder.h
+++ b/src/decision/GrantHolder.h
@@ -36,13 +36,17 @@
   /** Returns whether the grants held changed. */
   bool OnGrant(const Grant& aGrant);
   /**
-   * The workers together have no request in progress at the target and were
-   * given grants without it before that was seen. Returns what to send.
+   * Stops using a grant before its time is over. Hand HeldBy to the workers
+   * before looking for requests in progress.
    */
-  std::optional<GrantReturn> OnReleased(const TargetId& aTarget);
-
-  /** Targets whose grant is over or whose epoch is older than aEpoch. */
-  bool IsOver(const TargetId& aTarget, Epoch aEpoch) const;
+  void Withdraw(const TargetId& aTarget);
+  /** Whether a grant that is used no more was not returned yet. */
+  bool AwaitsReturn(const TargetId& aTarget) const;
+  /**
+   * The workers were seen without a request in progress at the target after
+   * its grant was over or withdrawn. Returns what to send, if anything.
+   */
+  std::optional<GrantReturn> OnIdle(const TargetId& aTarget);
 
   /**
    * The grants of one of aWorkers workers. A worker's part never shrinks when
@@ -55,8 +59,9 @@
   struct Entry
   {
     std::optional<HeldGrant> held;
-    /** Grants up to this one are used no more. */
+    /** The latest grant, and the latest one that was returned. */
     GrantId last;
+    GrantId returned;
     TimePoint lastWant;
   };
 
--- a/tests/DecisionControlTest.cpp
+++ b/tests/DecisionControlTest.cpp
@@ -137,8 +137,8 @@
       if (const auto want = holder.OnWanted(kTarget, Epoch(0), SlotCount(1))) {
         ledger.OnWant(*want);
       }
-      if (holder.IsOver(kTarget, Epoch(0))) {
-        ledger.OnReturn(holder.OnReleased(kTarget).value());
+      if (const auto idle = holder.OnIdle(kTarget)) {
+        ledger.OnReturn(*idle);
       }
     }
     for (const Grant& grant : ledger.Give()) {
--- a/tests/DecisionGrantPropertyTest.cpp
+++ b/tests/DecisionGrantPropertyTest.cpp
@@ -193,10 +193,12 @@
         Transmit([this, i, want] { ledgers_[i]->ledger->OnWant(*want); });
       }
     }
-    const bool over = aHost.holder->IsOver(kTarget, Epoch(0));
-    if (aHost.open.empty() && (over || Chance(2))) {
-      const auto released = aHost.holder->OnReleased(kTarget);
+    if (Chance(2)) {
+      aHost.holder->Withdraw(kTarget);
       UseGrants(aHost);
+    }
+    if (aHost.open.empty()) {
+      const auto released = aHost.holder->OnIdle(kTarget);
       for (std::size_t i = 0; released && i < ledgers_.size(); ++i) {
         Transmit(
           [this, i, released] { ledgers_[i]->ledger->OnReturn(*released); });
