--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -13,7 +14,10 @@
 
 class Responder;
 
-/** Finds the unanswered requests of a connection when it closes. */
+/**
+ * Finds the unanswered requests of a connection when it closes, and counts
+ * connections.
+ */
 class ConnectionListener
 {
 public:
@@ -26,6 +30,21 @@
   void Unregister(restinio::connection_id_t aConnection,
                   const Responder* aResponder);
 
+  /** True once for each connection. */
+  bool TakeFirst(restinio::connection_id_t aConnection)
+  {
+    return unused_.erase(aConnection) > 0;
+  }
+
+  /** RESTinio reports no close for a connection whose socket was taken. */
+  void Dropped(restinio::connection_id_t aConnection)
+  {
+    open_.erase(aConnection);
+  }
+
+  std::size_t Open() const { return open_.size(); }
+  std::uint64_t Accepted() const { return accepted_; }
+
   // The name is fixed by RESTinio.
   void state_changed(
     const restinio::connection_state::notice_t& aNotice) noexcept;
@@ -33,6 +52,10 @@
 private:
   std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Responder>>
     pending_;
+  /** Connections without a request so far. */
+  std::unordered_set<restinio::connection_id_t> unused_;
+  std::unordered_set<restinio::connection_id_t> open_;
+  std::uint64_t accepted_ = 0;
 };
 
 struct Traits : public restinio::default_single_thread_traits_t
@@ -62,14 +85,16 @@
     if (request_) {
       HttpResponse response;
       response.status = 500;
-      Respond(std::move(response));
+      Respond(std::move(response), nullptr);
     }
   }
 
-  void Send(HttpResponse aResponse) override
+  using HttpResponder::Send;
+
+  void Send(HttpResponse aResponse, std::shared_ptr<const void> aKept) override
   {
     if (request_) {
-      Respond(std::move(aResponse));
+      Respond(std::move(aResponse), std::move(aKept));
     }
   }
 
@@ -79,6 +104,7 @@
       return;
     }
     const restinio::request_handle_t request = Take();
+    listener_->Dropped(request->connection_id());
     auto& connection = static_cast<Connection&>(
       *restinio::impl::access_req_connection(*request));
     auto internals = connection.move_upgrade_internals();
@@ -109,20 +135,21 @@
     return std::exchange(request_, nullptr);
   }
 
-  void Respond(HttpResponse aResponse)
+  void Respond(HttpResponse aResponse, std::shared_ptr<const void> aKept)
   {
     const restinio::request_handle_t request = Take();
     if (request->header().method() == restinio::http_method_head()) {
-      RespondToHead(*request, std::move(aResponse));
+      RespondToHead(*request, std::move(aResponse), std::move(aKept));
       return;
     }
     auto response = request->create_response(StatusLine(aResponse.status));
-    Finish(*request, std::move(aResponse), response);
+    Finish(*request, std::move(aResponse), std::move(aKept), response);
   }
 
   // The length of the body that a GET would bring has to stay visible.
   static void RespondToHead(restinio::request_t& aRequest,
-                            HttpResponse aResponse)
+                            HttpResponse aResponse,
+                            std::shared_ptr<const void> aKept)
   {
     auto response =
       aRequest.create_response<restinio::user_controlled_output_t>(
@@ -133,7 +160,7 @@
     }
     response.set_content_length(length);
     aResponse.body.clear();
-    Finish(aRequest, std::move(aResponse), response);
+    Finish(aRequest, std::move(aResponse), std::move(aKept), response);
   }
 
   static restinio::http_status_line_t StatusLine(int aStatus)
@@ -145,14 +172,18 @@
   template<class Builder>
   static void Finish(restinio::request_t& aRequest,
                      HttpResponse aResponse,
+                     std::shared_ptr<const void> aKept,
                      Builder& aBuilder)
   {
+    bool keepAlive = aRequest.header().should_keep_alive();
     for (const HttpField& field : aResponse.fields) {
-      if (!SameFieldName(field.name, "Content-Length")) {
+      if (SameFieldName(field.name, "Connection")) {
+        keepAlive = keepAlive && !SameFieldName(field.value, "close");
+      } else if (!SameFieldName(field.name, "Content-Length")) {
         aBuilder.append_header(field.name, field.value);
       }
     }
-    if (aRequest.header().should_keep_alive()) {
+    if (keepAlive) {
       aBuilder.connection_keep_alive();
     } else {
       aBuilder.connection_close();
@@ -160,7 +191,11 @@
     if (!aResponse.body.empty()) {
       aBuilder.set_body(std::move(aResponse.body));
     }
-    aBuilder.done();
+    if (aKept) {
+      aBuilder.done([kept = std::move(aKept)](const auto&) {});
+    } else {
+      aBuilder.done();
+    }
   }
 
   restinio::request_handle_t request_;
@@ -185,10 +220,19 @@
 void ConnectionListener::state_changed(
   const restinio::connection_state::notice_t& aNotice) noexcept
 {
+  if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+        aNotice.cause())) {
+    unused_.insert(aNotice.connection_id());
+    open_.insert(aNotice.connection_id());
+    ++accepted_;
+    return;
+  }
   if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
         aNotice.cause())) {
     return;
   }
+  unused_.erase(aNotice.connection_id());
+  open_.erase(aNotice.connection_id());
   std::vector<std::shared_ptr<Responder>> gone;
   const auto [first, last] = pending_.equal_range(aNotice.connection_id());
   for (auto entry = first; entry != last; ++entry) {
@@ -220,12 +264,17 @@
 {
   using Settings = restinio::server_settings_t<Traits>;
 
-  Impl(asio::io_context& aContext, Settings aSettings)
-    : server(restinio::external_io_context(aContext), std::move(aSettings))
+  Impl(asio::io_context& aContext,
+       std::shared_ptr<ConnectionListener> aListener,
+       Settings aSettings)
+    : listener(std::move(aListener))
+    , server(restinio::external_io_context(aContext), std::move(aSettings))
   {
   }
 
+  std::shared_ptr<ConnectionListener> listener;
   restinio::http_server_t<Traits> server;
+  std::uint16_t port = 0;
 };
 
 namespace {
@@ -254,6 +303,7 @@
   HttpHandler aHandler)
 {
   auto listener = std::make_shared<ConnectionListener>();
+  auto port = std::make_shared<std::uint16_t>(0);
   Impl::Settings settings;
   settings.address(aOptions.endpoint.address)
     .port(aOptions.endpoint.port)
@@ -266,6 +316,9 @@
     .incoming_http_msg_limits(MessageLimits(aOptions))
     .max_parallel_connections(aOptions.maxConnections)
     .connection_state_listener(listener)
+    .acceptor_post_bind_hook([port](const asio::ip::tcp::acceptor& aAcceptor) {
+      *port = aAcceptor.local_endpoint().port();
+    })
     .acceptor_options_setter([reuse = aOptions.reusePort](auto& aAcceptor) {
       aAcceptor.set_option(asio::socket_base::reuse_address(true));
       if (reuse) {
@@ -280,12 +333,16 @@
                        const restinio::request_handle_t& aRequest) {
       auto responder = std::make_shared<Responder>(aRequest, listener);
       listener->Register(aRequest->connection_id(), responder);
-      handler(ToRequest(*aRequest), std::move(responder));
+      HttpRequest request = ToRequest(*aRequest);
+      request.firstOnConnection =
+        listener->TakeFirst(aRequest->connection_id());
+      handler(std::move(request), std::move(responder));
       return restinio::request_accepted();
     });
   try {
-    auto impl = std::make_unique<Impl>(aContext, std::move(settings));
+    auto impl = std::make_unique<Impl>(aContext, listener, std::move(settings));
     impl->server.open_sync();
+    impl->port = *port;
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
   } catch (const std::exception& error) {
     return Fail(ErrorKind::kUnavailable,
@@ -302,9 +359,24 @@
 
 HttpServer::~HttpServer() = default;
 
+std::uint16_t HttpServer::Port() const
+{
+  return impl_->port;
+}
+
 void HttpServer::Close()
 {
   impl_->server.close_sync();
 }
 
+std::size_t HttpServer::OpenConnections() const
+{
+  return impl_->listener->Open();
+}
+
+std::uint64_t HttpServer::AcceptedConnections() const
+{
+  return impl_->listener->Accepted();
+}
+
 } // namespace lacewing
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -8,6 +8,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -30,9 +32,17 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** The port listened on, chosen by the kernel when the endpoint's is 0. */
+  std::uint16_t Port() const;
+
   /** Stops listening; open connections go on. */
   void Close();
 
+  std::size_t OpenConnections() const;
+
+  /** Connections since the start. */
+  std::uint64_t AcceptedConnections() const;
+
 private:
   struct Impl;
   explicit HttpServer(std::unique_ptr<Impl> aImpl);
