--- a/src/decision/TargetView.h
+++ b/src/decision/TargetView.h
@@ -30,9 +30,8 @@
   }
   /** Moving average of answer times; zero when none. */
   Duration Latency() const { return latency_; }
-  /** When the last answer came, and how long it took. */
+  /** When the last answer came. */
   TimePoint LastAnswer() const { return lastAnswer_; }
-  Duration LastLatency() const { return lastLatency_; }
   const LoadReport& Report() const { return report_; }
   /** Own requests in progress beyond those at the time of the report. */
   double SentSinceReport() const;
@@ -43,10 +42,10 @@
   double OthersInFlight(TimePoint aNow, SlotCount aSlots, double aUsual) const;
   /**
    * Load in requests that stands for recent failures, slow answers and a
-   * request that is overdue; aTypical is the service's usual answer time.
+   * request that is overdue; aSlow is the service's SlowLimit.
    */
-  double Penalty(TimePoint aNow, Duration aTypical) const;
-  /** Consecutive answers that took a multiple of the usual time. */
+  double Penalty(TimePoint aNow, Duration aSlow) const;
+  /** Consecutive answers beyond the service's SlowLimit. */
   unsigned SlowAnswers() const { return slowAnswers_; }
 
   /** Takes over phase and epoch. */
@@ -63,10 +62,10 @@
   void OnAnswered(TimePoint aNow,
                   TimePoint aSent,
                   const AttemptAnswer& aAnswer,
-                  Duration aTypical);
+                  Duration aSlow);
   void OnFailed(TimePoint aNow, TimePoint aSent, AttemptFailure aFailure);
-  /** aTypical as for Penalty. */
-  void OnCancelled(TimePoint aNow, TimePoint aSent, Duration aTypical);
+  /** aSlow as for Penalty. */
+  void OnCancelled(TimePoint aNow, TimePoint aSent, Duration aSlow);
   /** Slots for which a grant is wanted. */
   void OnWanted(SlotCount aSlots) { wanted_ = aSlots; }
   /** Treats a warm target as cold until a later epoch arrives. */
@@ -88,7 +87,6 @@
   SlotCount wanted_;
   TimePoint drainingUntil_;
   TimePoint lastAnswer_;
-  Duration lastLatency_{ 0 };
   Duration latency_{ 0 };
   LoadReport report_;
   DecayingValue failures_;
