--- a/src/decision/ServiceState.cpp
+++ b/src/decision/ServiceState.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t kJumpTargets = 4;
 // Weight of a new report in the mean over targets.
 constexpr double kReportWeight = 1.0 / 32;
+// A target that is held back is looked at again after this part of the usual
+// answer time, within the bounds.
+constexpr int kRecheckPart = 8;
+constexpr Duration kShortestRecheck = std::chrono::milliseconds(1);
+constexpr Duration kLongestRecheck = std::chrono::milliseconds(20);
+// Without a usable target only events help, or the end of a draining pause.
+constexpr Duration kIdleRecheck = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -56,14 +63,11 @@
                                         TimePoint aNow,
                                         std::mt19937_64& aRandom)
 {
-  RoutingContext context{ aNow,
-                          targets_,
-                          aRandom,
-                          route_->slots,
-                          ConnectionLimit(),
-                          typical_.Value(),
-                          usualOthers_,
-                          aNow - aRequest.arrived };
+  RoutingContext context{
+    aNow,          targets_,          aRandom,
+    route_->slots, ConnectionLimit(), typical_.Value(),
+    slow_.Value(), usualOthers_,      aNow - aRequest.arrived
+  };
   if (targets_.size() > 1) {
     context.avoid = aRequest.last.get();
   }
@@ -72,6 +76,19 @@
   return index ? targets_[*index] : nullptr;
 }
 
+Duration ServiceState::RecheckAfter(TimePoint aNow) const
+{
+  const SlotCount limit = std::min(ConnectionLimit(), route_->slots);
+  const bool heldBack =
+    std::any_of(targets_.begin(), targets_.end(), [&](const Target& aTarget) {
+      return aTarget->MaySend(aNow, limit);
+    });
+  return heldBack ? std::clamp(typical_.Value() / kRecheckPart,
+                               kShortestRecheck,
+                               kLongestRecheck)
+                  : kIdleRecheck;
+}
+
 void ServiceState::OnRequest()
 {
   retries_.OnRequest();
@@ -90,9 +107,10 @@
                               const AttemptAnswer& aAnswer)
 {
   --inFlight_;
-  aTarget.OnAnswered(aNow, aSent, aAnswer, typical_.Value());
+  aTarget.OnAnswered(aNow, aSent, aAnswer, slow_.Value());
   if (!aAnswer.notRun && aAnswer.status < 500) {
     typical_.Add(aNow - aSent);
+    slow_.Add(aNow - aSent, typical_.Value());
   }
   if (aAnswer.reportedLoad && route_) {
     const double others =
@@ -120,7 +138,7 @@
                                TimePoint aSent)
 {
   --inFlight_;
-  aTarget.OnCancelled(aNow, aSent, typical_.Value());
+  aTarget.OnCancelled(aNow, aSent, slow_.Value());
 }
 
 Duration ServiceState::ExpectedWait() const
