Keep an HTTP server's state until its last connection has gone

Cause: when a program ends with open connections, the io_context destroys them after the server, and each reports its end to RESTinio's acceptor, which is gone by then. The address sanitizer reported a use after free in standin-platform at SIGTERM with a call in progress, exit code 1; every program with an HttpServer ends this way.

Change: a service of the io_context holds the server until every handler is destroyed.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -290,6 +290,38 @@
     .max_body_size(aOptions.maxBody.value());
 }
 
+/**
+ * Keeps servers until the last handler of their io_context is destroyed. A
+ * connection that is still open then reports its end to RESTinio's acceptor,
+ * which would be gone if it ended with the server.
+ */
+class ServerKeeper final : public asio::execution_context::service
+{
+public:
+  // The name is fixed by Asio.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static asio::execution_context::id id;
+
+  explicit ServerKeeper(asio::execution_context& aContext)
+    : service(aContext)
+  {
+  }
+
+  void Keep(std::shared_ptr<void> aServer)
+  {
+    servers_.push_back(std::move(aServer));
+  }
+
+private:
+  // The name is fixed by Asio.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void shutdown() override {}
+
+  std::vector<std::shared_ptr<void>> servers_;
+};
+
+asio::execution_context::id ServerKeeper::id;
+
 constexpr std::size_t kReadBuffer = 16U << 10U;
 // A second request is read while the first runs, so that the close of a
 // caller's connection is noticed.
@@ -340,8 +372,9 @@
       return restinio::request_accepted();
     });
   try {
-    auto impl = std::make_unique<Impl>(aContext, listener, std::move(settings));
+    auto impl = std::make_shared<Impl>(aContext, listener, std::move(settings));
     impl->server.open_sync();
+    asio::use_service<ServerKeeper>(aContext).Keep(impl);
     impl->port = *port;
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
   } catch (const std::exception& error) {
@@ -352,7 +385,7 @@
   }
 }
 
-HttpServer::HttpServer(std::unique_ptr<Impl> aImpl)
+HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
   : impl_(std::move(aImpl))
 {
 }
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -45,9 +45,9 @@
 
 private:
   struct Impl;
-  explicit HttpServer(std::unique_ptr<Impl> aImpl);
+  explicit HttpServer(std::shared_ptr<Impl> aImpl);
 
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 } // namespace lacewing
