Charge request bodies for both copies

Cause: RESTinio keeps its copy of a body until the answer, so a body took twice the memory that the budget counted. Change: the budget counts both copies, and the settings check allows for them. Measured: two 1 MiB bodies in progress count 4 to 5 MiB, a third one is refused with a not-run 503 (tests/EntryInputTest.cpp); lacewing_tests: 126 cases pass, 125 before.

--- a/src/entry/EntryLimits.h
+++ b/src/entry/EntryLimits.h
@@ -13,7 +13,7 @@
   /** A larger answer ends as answer-too-large. The largest answers are
    * 8 MiB; the rest is reserve. */
   ByteCount maxAnswer{ (8U << 20U) + (64U << 10U) };
-  /** Bodies and answers held at once, over all workers. */
+  /** Bodies, which are held twice, and answers, over all workers. */
   ByteCount maxBuffered{ 256U << 20U };
   /** Set aside for the answer of a request when it is admitted. */
   ByteCount answerReserve{ 16U << 10U };
--- a/src/entry/EntrySettingsReader.cpp
+++ b/src/entry/EntrySettingsReader.cpp
@@ -191,10 +191,10 @@
   }
   const EntryLimits& limits = aSettings.limits;
   if (limits.maxBuffered.value() / aSettings.workers <
-      limits.maxBody.value() + limits.maxAnswer.value()) {
+      2 * limits.maxBody.value() + limits.maxAnswer.value()) {
     return Fail(ErrorKind::kInvalidSettings,
                 aFile + ": max_buffered is too small for one request",
-                "write at least workers times (max_body + max_answer)");
+                "write at least workers times (2 max_body + max_answer)");
   }
   return outcome::success();
 }
--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -82,8 +82,9 @@
     return;
   }
   const ByteCount bodySize(aRequest.body.size());
-  auto charge =
-    BufferCharge::Make(budget_, bodySize + options_.limits.answerReserve);
+  // The server keeps its own copy of the body until the answer.
+  auto charge = BufferCharge::Make(
+    budget_, bodySize + bodySize + options_.limits.answerReserve);
   if (!charge) {
     Refuse(*aResponder, RefusalReason::kBuffersFull);
     return;
--- a/tests/EntryInputTest.cpp
+++ b/tests/EntryInputTest.cpp
@@ -153,3 +153,42 @@
   CHECK(answer.find("Lacewing-Reason: stopping") != std::string::npos);
   CHECK(entry.Stop());
 }
+
+// Guards against bodies that are held twice but counted once, and against
+// work that is accepted although the memory for it is taken.
+TEST_CASE("a request that finds the memory taken is refused as not run")
+{
+  std::vector<std::shared_ptr<HttpResponder>> held;
+  TestTarget target(
+    [&](const HttpRequest&, std::shared_ptr<HttpResponder> aTo) {
+      held.push_back(std::move(aTo));
+    });
+  EntrySettings settings = StaticSettings({ target.Address() });
+  settings.limits.maxBody = ByteCount(1U << 20U);
+  settings.limits.maxBuffered = ByteCount(5U << 20U);
+  TestEntry entry(settings);
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < 2; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(entry.Callers()));
+    callers.back()->Send(Head(1U << 20U) + std::string(1U << 20U, 'b'));
+  }
+  TestCaller caller;
+  const std::uint64_t buffered = Buffered(caller, entry);
+  CHECK(buffered >= 4U << 20U);
+  CHECK(buffered <= 5U << 20U);
+  HttpCall third;
+  third.endpoint = entry.Callers();
+  third.target = "/s/x";
+  third.method = "POST";
+  third.body = std::make_shared<const std::string>(900000, 'c');
+  const HttpCallResult refused = caller.Call(third);
+  CHECK(refused.response.status == 503);
+  CHECK(FieldOf(refused, "Lacewing-Outcome") == "not-run");
+  CHECK(FieldOf(refused, "Lacewing-Reason") == "overload");
+  CHECK(FieldOf(refused, "Retry-After") == "1");
+  CHECK(target.Runs() == 2);
+  callers.clear();
+  CHECK(Buffered(caller, entry) == 0);
+  asio::post(target.Context(), [&] { held.clear(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+}
