Ask hosts no longer than the command has time

Cause: the last round of questions began before the deadline and waited two seconds for a silent host.

Change: SurveyHosts takes the time for an answer; the wait for a version in force gives at most what is left, and at least 100 ms.

--- a/src/ctl/Ctl.cpp
+++ b/src/ctl/Ctl.cpp
@@ -232,15 +232,15 @@
     End(endpoint.error());
     return;
   }
-  environment_.hosts.Dump(endpoint.value(),
-                          [this](Outcome<nlohmann::json> aDump) {
-                            if (!aDump) {
-                              End(ExitCode::kUnavailable, aDump.error());
-                              return;
-                            }
-                            report_.dump = std::move(aDump).value();
-                            End();
-                          });
+  environment_.hosts.Dump(
+    endpoint.value(), options_.timeout, [this](Outcome<nlohmann::json> aDump) {
+      if (!aDump) {
+        End(ExitCode::kUnavailable, aDump.error());
+        return;
+      }
+      report_.dump = std::move(aDump).value();
+      End();
+    });
 }
 
 void Ctl::Zone()
@@ -472,6 +472,7 @@
   SurveyHosts(store_,
               environment_.hosts,
               options_.controlAdminPort,
+              std::min(options_.timeout, kHostTimeout),
               [this](auto aHosts) { OnHostsInForce(std::move(aHosts)); });
 }
 
--- a/src/ctl/HostReader.h
+++ b/src/ctl/HostReader.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <chrono>
 #include <functional>
 
 namespace lacewing {
@@ -19,10 +20,13 @@
   virtual ~HostReader() = default;
 
   /**
-   * Reads /dump; the handler runs later on the caller's io_context. Fails
-   * with kUnavailable, kTimeout, kTooLarge or kInvalidMessage.
+   * Reads /dump within aTimeout; the handler runs later on the caller's
+   * io_context. Fails with kUnavailable, kTimeout, kTooLarge or
+   * kInvalidMessage.
    */
-  virtual void Dump(const Endpoint& aAdmin, DumpHandler aHandler) = 0;
+  virtual void Dump(const Endpoint& aAdmin,
+                    std::chrono::milliseconds aTimeout,
+                    DumpHandler aHandler) = 0;
 };
 
 } // namespace lacewing
--- a/src/ctl/HostSurvey.cpp
+++ b/src/ctl/HostSurvey.cpp
@@ -42,9 +42,10 @@
 void SurveyHosts(ObjectStore& aStore,
                  HostReader& aReader,
                  std::uint16_t aAdminPort,
+                 std::chrono::milliseconds aTimeout,
                  HostReportsHandler aHandler)
 {
-  aStore.Hosts([&aReader, aAdminPort, handler = std::move(aHandler)](
+  aStore.Hosts([&aReader, aAdminPort, aTimeout, handler = std::move(aHandler)](
                  Outcome<std::vector<ListedHost>> aHosts) {
     if (!aHosts) {
       handler(std::move(aHosts).as_failure());
@@ -68,8 +69,10 @@
     RunBounded(
       asked->size(),
       kHostsAtOnce,
-      [&aReader, reports, endpoints, asked](std::size_t aIndex, auto aDone) {
+      [&aReader, reports, endpoints, asked, aTimeout](std::size_t aIndex,
+                                                      auto aDone) {
         aReader.Dump((*endpoints)[aIndex],
+                     aTimeout,
                      [reports, index = (*asked)[aIndex], aDone](
                        const Outcome<nlohmann::json>& aDump) {
                        TakeDump((*reports)[index], aDump);
--- a/src/ctl/HttpHostReader.cpp
+++ b/src/ctl/HttpHostReader.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -13,7 +14,6 @@
 
 // A dump grows with the fleet; 15,000 targets take about 3 MB.
 constexpr ByteCount kMaxDump{ 32U << 20U };
-constexpr std::chrono::milliseconds kDumpTimeout{ 2000 };
 
 Error Unreadable(ErrorKind aKind, const Endpoint& aAdmin, std::string aWhy)
 {
@@ -62,12 +62,15 @@
   {
   }
 
-  void Dump(const Endpoint& aAdmin, DumpHandler aHandler) override
+  void Dump(const Endpoint& aAdmin,
+            std::chrono::milliseconds aTimeout,
+            DumpHandler aHandler) override
   {
     HttpCall call;
     call.endpoint = aAdmin;
     call.target = "/dump";
-    call.timeout = kDumpTimeout;
+    call.timeout = aTimeout;
+    call.connectTimeout = std::min(call.connectTimeout, aTimeout);
     call.maxResponseBody = kMaxDump;
     call.idempotent = true;
     client_.Start(
--- a/src/ctl/InForceWaiter.cpp
+++ b/src/ctl/InForceWaiter.cpp
@@ -16,6 +16,8 @@
 // A configuration takes up to 6 s to be in force at full size; a host answers
 // each question from memory.
 constexpr std::chrono::milliseconds kPollInterval{ 200 };
+// The last question before the deadline still needs time for an answer.
+constexpr std::chrono::milliseconds kShortestQuestion{ 100 };
 constexpr std::size_t kWritesAtOnce = 16;
 
 class Waiter : public std::enable_shared_from_this<Waiter>
@@ -51,11 +53,20 @@
   }
 
 private:
+  /** Ends near the deadline even when a host is silent. */
+  std::chrono::milliseconds TimeForAnswer() const
+  {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      wait_.deadline - clock_.Now());
+    return std::clamp(left, kShortestQuestion, kHostTimeout);
+  }
+
   void Ask()
   {
     SurveyHosts(store_,
                 hosts_,
                 wait_.adminPort,
+                TimeForAnswer(),
                 [self = shared_from_this()](auto aReports) {
                   self->OnReports(std::move(aReports));
                 });
--- a/tests/process/CtlProcessTest.cpp
+++ b/tests/process/CtlProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "support/Process.h"
 #include "support/VersionDaemon.h"
 
+#include <asio.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -137,6 +138,26 @@
         std::string::npos);
 }
 
+// Guards against a silent host that keeps the command beyond its time.
+TEST_CASE_FIXTURE(CtlFixture, "a host that does not answer is named in time")
+{
+  SetVersions(9);
+  const FreePorts silent(1);
+  asio::io_context context;
+  // Accepts connections and never answers.
+  const asio::ip::tcp::acceptor acceptor(
+    context, { asio::ip::make_address("127.0.0.1"), silent.Port(0) });
+  const nlohmann::json host = { { "address", silent.At(0).ToString() },
+                                { "zone", "bole" } };
+  Send("PUT", platformAt, "/hosts/h3", host.dump());
+  const auto start = std::chrono::steady_clock::now();
+  std::string output;
+  CHECK(Run({ "apply", kExamples + "addis.csv", "--timeout=500ms" }, &output) ==
+        6);
+  CHECK(std::chrono::steady_clock::now() - start < 1900ms);
+  CHECK(output.find("is not in force on h3 (") != std::string::npos);
+}
+
 // Guards against scripts that cannot tell a usage error from other failures.
 TEST_CASE_FIXTURE(CtlFixture, "usage errors have exit code 1 and help has 0")
 {
--- a/tests/support/MemoryHostReader.h
+++ b/tests/support/MemoryHostReader.h
@@ -26,7 +26,9 @@
   /** Answers for "ADDRESS:PORT" other than the store's version. */
   std::map<std::string, Outcome<nlohmann::json>> exceptions;
 
-  void Dump(const Endpoint& aAdmin, DumpHandler aHandler) override
+  void Dump(const Endpoint& aAdmin,
+            std::chrono::milliseconds,
+            DumpHandler aHandler) override
   {
     const auto exception = exceptions.find(aAdmin.ToString());
     Outcome<nlohmann::json> result =
