--- a/src/config/ConfigCheck.cpp
+++ b/src/config/ConfigCheck.cpp
@@ -1,6 +1,10 @@
 #include "config/ConfigCheck.h"
 
+#include <arpa/inet.h>
+
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
 namespace lacewing {
@@ -12,6 +16,24 @@
   return Fail(ErrorKind::kInvalidMessage, aWhat, aRemedy);
 }
 
+/** The endpoint as one number; Endpoint holds IPv4 addresses only. */
+std::uint64_t NumberOf(const Endpoint& aEndpoint)
+{
+  in_addr address{};
+  inet_pton(AF_INET, aEndpoint.address.c_str(), &address);
+  constexpr unsigned kPortBits = 16;
+  return (std::uint64_t{ address.s_addr } << kPortBits) | aEndpoint.port;
+}
+
+std::size_t CountTargets(const Configuration& aConfiguration)
+{
+  std::size_t count = 0;
+  for (const auto& [id, service] : aConfiguration.services) {
+    count += service->targets.size();
+  }
+  return count;
+}
+
 } // namespace
 
 Outcome<void> CheckConfiguration(const Configuration& aConfiguration)
@@ -26,8 +48,12 @@
                           "add the zone or move the host");
     }
   }
-  std::unordered_set<std::string> ids;
-  std::unordered_set<std::string> addresses;
+  // Runs on every host for every change, over all targets.
+  const std::size_t targets = CountTargets(aConfiguration);
+  std::unordered_set<std::string_view> ids;
+  std::unordered_set<std::uint64_t> addresses;
+  ids.reserve(targets);
+  addresses.reserve(targets);
   for (const auto& [id, service] : aConfiguration.services) {
     if (service->coldLimit > service->slots) {
       return Inconsistent("service " + id.value() +
@@ -35,19 +61,21 @@
                           "lower the limit or raise the slots");
     }
     for (const TargetConfig& target : service->targets) {
-      const std::string subject =
-        "target " + target.id.value() + " of service " + id.value();
+      const auto subject = [&target, serviceId = &id] {
+        return "target " + target.id.value() + " of service " +
+               serviceId->value();
+      };
       if (!known(target.zone)) {
-        return Inconsistent(subject + " is in the unknown zone " +
+        return Inconsistent(subject() + " is in the unknown zone " +
                               target.zone.value(),
                             "add the zone or move the target");
       }
       if (!ids.insert(target.id.value()).second) {
-        return Inconsistent(subject + " has an id that is already taken",
+        return Inconsistent(subject() + " has an id that is already taken",
                             "give each target an id of its own");
       }
-      if (!addresses.insert(target.endpoint.ToString()).second) {
-        return Inconsistent(subject + " has the address of another target",
+      if (!addresses.insert(NumberOf(target.endpoint)).second) {
+        return Inconsistent(subject() + " has the address of another target",
                             "give each target an address of its own");
       }
     }
