--- a/src/decision/ServiceState.h
+++ b/src/decision/ServiceState.h
@@ -6,6 +6,7 @@
 #include "decision/RetryBudget.h"
 #include "decision/RoutingStrategy.h"
 #include "decision/ServiceRoute.h"
+#include "decision/SlowLimit.h"
 #include "decision/TargetView.h"
 #include "decision/WaitQueue.h"
 #include "lacewing/ZoneId.h"
@@ -47,6 +48,12 @@
               TimePoint aNow,
               std::mt19937_64& aRandom);
 
+  /**
+   * When to call Pick again after it found nothing: soon when a target has a
+   * free slot that the strategy holds back, because that changes with time.
+   */
+  Duration RecheckAfter(TimePoint aNow) const;
+
   void OnRequest();
   void OnSent(TargetView& aTarget, TimePoint aNow);
   void OnAnswered(TargetView& aTarget,
@@ -75,6 +82,7 @@
   WaitQueue waiting_;
   RetryBudget retries_;
   LatencyAverage typical_;
+  SlowLimit slow_;
   /** Mean of other workers' requests in progress at a target. */
   double usualOthers_ = 0;
   std::size_t inFlight_ = 0;
--- a/tests/support/CheckedLoad.cpp
+++ b/tests/support/CheckedLoad.cpp
@@ -17,7 +17,7 @@
                               const std::vector<PhaseLength>& aPhases,
                               double aRate)
 {
-  nlohmann::json json = { { "seed", 20261204 } };
+  nlohmann::json json = { { "seed", 20261204U } };
   for (std::size_t host = 0; host < aDeployment.Hosts(); ++host) {
     json["entry"].push_back(
       { { "address", aDeployment.Callers(host).ToString() },
@@ -31,12 +31,12 @@
   json["request"] = { { { "weight", 3 },
                         { "service", "ledger" },
                         { "path", "/balance" },
-                        { "answer_bytes", 700 } },
+                        { "answer_bytes", 700U } },
                       { { "weight", 1 },
                         { "service", "ledger" },
                         { "method", "POST" },
                         { "path", "/deposit" },
-                        { "body_bytes", 300 } } };
+                        { "body_bytes", 300U } } };
   return json;
 }
 
--- a/tests/support/Deployment.cpp
+++ b/tests/support/Deployment.cpp
@@ -174,7 +174,7 @@
   Send("PUT",
        Platform(),
        "/hosts/" + HostName(aHost),
-       nlohmann::json{ { "address", ControlAdmin(aHost).ToString() },
+       nlohmann::json{ { "address", Address(aHost) },
                        { "zone", ZoneName(aHost % options_.zones) },
                        { "state", aState } }
          .dump());
@@ -229,8 +229,11 @@
 
 CtlResult Deployment::Ctl(const std::vector<std::string>& aArguments) const
 {
-  std::vector<std::string> arguments{ "--platform=" + Platform().ToString(),
-                                      "--timeout=20s" };
+  std::vector<std::string> arguments{
+    "--platform=" + Platform().ToString(),
+    "--timeout=20s",
+    "--control_admin_port=" + std::to_string(ports_.Port(kControlAdmin))
+  };
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   Process ctl("lacewingctl", arguments);
   CtlResult result;
@@ -242,7 +245,7 @@
 CtlResult Deployment::Apply(const std::string& aSheet) const
 {
   const TempFile sheet(aSheet);
-  return Ctl({ "apply", sheet.Path() });
+  return Ctl({ "--allow_removal", "apply", sheet.Path() });
 }
 
 void Deployment::BringIntoService()
