Close an HTTP server's listener when the server is destroyed

Cause: since its state outlives it, a destroyed HttpServer went on listening, and its test sent the answer too early to show the use after free.

Change: the destructor closes the listener. The test now sends the answer after the server's end, as programs do when they drop pending work, and checks that the port refuses connections.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -390,7 +390,10 @@
 {
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+  Close();
+}
 
 std::uint16_t HttpServer::Port() const
 {
--- a/tests/HttpServerEndTest.cpp
+++ b/tests/HttpServerEndTest.cpp
@@ -9,21 +9,21 @@
 
 using namespace lacewing;
 
-// Guards against open connections that use the server's memory after it when
-// a program ends; the address sanitizer shows this.
-TEST_CASE("a server may end before its open connections")
+// Guards against connections that use the server's memory after it when a
+// program ends with answers still to be written; the address sanitizer shows
+// this.
+TEST_CASE("a server may end before the answers that it still has to write")
 {
   const FreePorts ports(1);
   std::optional<asio::io_context> context(std::in_place);
   HttpServerOptions options;
   options.endpoint = ports.At(0);
-  int requests = 0;
+  std::shared_ptr<HttpResponder> held;
   auto server = HttpServer::Make(
     *context,
     options,
     [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& aResponder) {
-      ++requests;
-      aResponder->Send({});
+      held = aResponder;
       context->stop();
     });
   REQUIRE(server.has_value());
@@ -33,7 +33,13 @@
   const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
   asio::write(caller, asio::buffer(request));
   context->run();
-  CHECK(requests == 1);
+  REQUIRE(held);
   server.value().reset();
+  asio::ip::tcp::socket late(callers);
+  asio::error_code refused;
+  late.connect({ asio::ip::address_v4::loopback(), ports.Port(0) }, refused);
+  CHECK(refused == asio::error::connection_refused);
+  held->Send({});
+  held.reset();
   context.reset();
 }
