Keep targets warm across control restarts; find hosts without the store

Cause: phases heard before the first configuration were dropped, entryd did not pass on what it knew, and a host that left was tried again only when gone, so a host that restarted while the store was down stayed alone. Change: controld keeps early phases until its configuration names their targets; entryd sends its phases when it connects; listed hosts that left are tried again as well as gone ones.

--- a/src/control/ControlDaemon.cpp
+++ b/src/control/ControlDaemon.cpp
@@ -217,7 +217,8 @@
   {
     BOOST_OUTCOME_TRY(const auto message,
                       DecodeMessage<TargetStateMessage>(aFrame));
-    state_->phaseDesk.OnState(aLink, message, !fullMesh_);
+    const bool entry = state_->links->HelloOf(aLink)->role == WireRole::kEntry;
+    state_->phaseDesk.OnState(aLink, message, entry || !fullMesh_);
     return outcome::success();
   }
 
@@ -359,12 +360,15 @@
     state_->links->Connect(endpoints);
   }
 
-  /** One gone host that the platform still lists, another each period. */
+  /**
+   * One host that left or is gone though the platform still lists it, another
+   * each period. A host that starts while the store is down is found so only.
+   */
   std::optional<HostId> GoneHostToRetry()
   {
     std::vector<HostId> gone;
     for (const auto& [host, member] : state_->members.All()) {
-      if (member.listed && member.entry.state == MemberState::kGone) {
+      if (member.listed && member.entry.state >= MemberState::kLeaving) {
         gone.push_back(host);
       }
     }
@@ -439,7 +443,7 @@
   { ConfigWantMessage::kKind, true, true, &Impl::OnConfigWant },
   { ConfigMessage::kKind, false, true, &Impl::OnConfig },
   { TargetReportMessage::kKind, true, true, &Impl::OnTargetReport },
-  { TargetStateMessage::kKind, false, true, &Impl::OnTargetState },
+  { TargetStateMessage::kKind, true, true, &Impl::OnTargetState },
   { LeaseStateMessage::kKind, false, true, &Impl::OnLeaseState },
   { GrantWantMessage::kKind, true, true, &Impl::OnGrantWant },
   { GrantMessage::kKind, false, true, &Impl::OnGrant },
--- a/src/control/ControlTerms.h
+++ b/src/control/ControlTerms.h
@@ -17,10 +17,7 @@
   Duration goneTime = std::chrono::seconds(6);
   /** How long a gone host that is not listed is remembered. */
   Duration forgetTime = std::chrono::seconds(60);
-  /**
-   * Period in which one gone host that is still listed is tried again. A host
-   * that starts while the store is down is found in this way only.
-   */
+  /** Period in which one gone host that is still listed is tried again. */
   Duration retryGoneTime = std::chrono::seconds(1);
   /** Hosts up to which every pair of controlds is connected. */
   std::size_t fullMeshHosts = 20;
--- a/src/control/PhaseDesk.cpp
+++ b/src/control/PhaseDesk.cpp
@@ -10,6 +10,10 @@
 // Entries of about 60 bytes, so that a message stays below 64 KB.
 constexpr std::size_t kMaxEntries = 1000;
 
+// Bounds what peers can make this process keep; above the 15,000 targets of
+// the size that the design is made for.
+constexpr std::size_t kMaxEarly = 20000;
+
 } // namespace
 
 PhaseDesk::PhaseDesk(const Clock& aClock,
@@ -34,9 +38,34 @@
       ++target;
     }
   }
+  std::vector<PhaseRecord> changed;
   for (const auto& [target, entry] : index_.All()) {
     phases_.SetTarget(target, entry.warmUp);
     known_.insert(target);
+    const auto early = early_.find(target);
+    if (early == early_.end()) {
+      continue;
+    }
+    if (phases_.Merge(early->second)) {
+      Note(early->second);
+      changed.push_back(early->second);
+    }
+    early_.erase(early);
+  }
+  if (!changed.empty()) {
+    links_.Send(links_.Entries(), Message(changed));
+  }
+}
+
+void PhaseDesk::KeepEarly(const PhaseRecord& aRecord)
+{
+  if (early_.size() >= kMaxEarly && early_.count(aRecord.target) == 0) {
+    return;
+  }
+  PhaseRecord& kept = early_.emplace(aRecord.target, aRecord).first->second;
+  if (kept.epoch < aRecord.epoch ||
+      (kept.epoch == aRecord.epoch && kept.phase < aRecord.phase)) {
+    kept = aRecord;
   }
 }
 
@@ -127,7 +156,9 @@
   TargetStateMessage changed;
   for (const TargetStateEntry& entry : aMessage.targets) {
     const PhaseRecord record{ entry.target, entry.epoch, entry.phase };
-    if (phases_.Merge(record)) {
+    if (known_.count(entry.target) == 0) {
+      KeepEarly(record);
+    } else if (phases_.Merge(record)) {
       Note(record);
       changed.targets.push_back(entry);
     }
--- a/src/control/PhaseDesk.h
+++ b/src/control/PhaseDesk.h
@@ -8,6 +8,7 @@
 #include "wire/TargetStateMessage.h"
 
 #include <functional>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -41,6 +42,8 @@
 
 private:
   void Note(const PhaseRecord& aRecord);
+  /** Keeps a record until the configuration names its target. */
+  void KeepEarly(const PhaseRecord& aRecord);
   void OnGoodAnswer(const TargetReportEntry& aEntry);
   static TargetStateMessage Message(const std::vector<PhaseRecord>& aRecords);
   void Tell(const std::vector<PhaseRecord>& aRecords);
@@ -50,6 +53,12 @@
   LeaseCheck holds_;
   PhaseTable phases_;
   std::set<TargetId> known_;
+  /**
+   * Phases of targets that the configuration in force does not name yet. A
+   * controld that starts hears phases before it has a configuration; without
+   * them every warm target would have to warm up again.
+   */
+  std::map<TargetId, PhaseRecord> early_;
   /**
    * Targets whose cold time or ramp runs. Only these can advance; with 15,000
    * targets, looking at all that are not warm took 5 % of a core.
--- a/src/entry/EntryControl.cpp
+++ b/src/entry/EntryControl.cpp
@@ -19,6 +19,9 @@
 // the pause bounds the cost of a set that stays invalid.
 constexpr unsigned kTicksToRetry = 10;
 
+// Phases of about 60 bytes, so that a message stays below 64 KB.
+constexpr std::size_t kMaxPhases = 1000;
+
 HelloMessage MakeHello(const EntrySettings& aSettings, Incarnation aIncarnation)
 {
   HelloMessage hello;
@@ -140,9 +143,24 @@
 void EntryControl::OnConnected()
 {
   state_.controldConnected = true;
+  SendPhases();
   link_->Send(configs_.Want());
 }
 
+void EntryControl::SendPhases()
+{
+  TargetStateMessage message;
+  for (const auto& [target, status] : phases_.All()) {
+    message.targets.push_back({ target, status.epoch, status.phase });
+    if (message.targets.size() == kMaxPhases) {
+      link_->Send(std::exchange(message, {}));
+    }
+  }
+  if (!message.targets.empty()) {
+    link_->Send(message);
+  }
+}
+
 void EntryControl::OnDisconnected()
 {
   // The last snapshot stays in force, and grants simply expire.
--- a/src/entry/EntryControl.h
+++ b/src/entry/EntryControl.h
@@ -62,6 +62,11 @@
    * give grants for them.
    */
   void ResolveColdSigns(const WorkerReport& aReport);
+  /**
+   * Tells controld the phases known here, which survive when every controld
+   * of the deployment starts anew.
+   */
+  void SendPhases();
   void PostGrants();
   void SendReports();
   void ScheduleTick();
--- a/src/entry/KnownPhases.h
+++ b/src/entry/KnownPhases.h
@@ -29,6 +29,11 @@
 
   TargetStatus Find(const TargetId& aTarget) const;
 
+  const std::unordered_map<TargetId, TargetStatus>& All() const
+  {
+    return phases_;
+  }
+
   /** Forgets the targets that are not in aKept. */
   void Keep(const std::set<TargetId>& aKept);
 
