Return grants that ended while requests wait

Cause: a grant went back only when nothing waited for its target. Under contention that never happened, so the lease holder counted the ended grant for the longest deadline, and the slot of a cold target lay idle for 11 s. Change: an ended grant without requests in progress goes back at once; its id stays known, so that an older grant that arrives late is still ignored.

--- a/src/entry/GrantBook.cpp
+++ b/src/entry/GrantBook.cpp
@@ -100,8 +100,9 @@
   if (aGrant.id <= grant.id) {
     return;
   }
-  const bool renewed = grant.id != GrantId();
+  const bool renewed = grant.id != GrantId() && !grant.returned;
   grant.id = aGrant.id;
+  grant.returned = false;
   grant.epoch = aGrant.epoch;
   grant.slots = aGrant.slots;
   // The time counts from the sending of the want, so that transit time never
@@ -259,13 +260,16 @@
 {
   std::vector<GrantReturnEntry> returns;
   for (auto entry = grants_.begin(); entry != grants_.end();) {
-    const TargetGrant& grant = entry->second;
-    if (SumOf(grant, &Ceiling) > SlotCount(0) ||
-        SumOf(grant, &Demand) > SlotCount(0) || !Ends(grant)) {
+    TargetGrant& grant = entry->second;
+    if (SumOf(grant, &Ceiling) > SlotCount(0) || !Ends(grant)) {
       ++entry;
       continue;
     }
-    if (grant.id != GrantId()) {
+    // An ended grant goes back also while requests wait for the next one.
+    // Otherwise the lease holder counts it for the longest deadline, and no
+    // host gets the slot meanwhile.
+    if (grant.id != GrantId() && !std::exchange(grant.returned, true)) {
+      grant.slots = SlotCount(0);
       GrantReturnEntry given;
       given.host = host_;
       given.incarnation = incarnation_;
@@ -273,7 +277,8 @@
       given.lastGrant = grant.id;
       returns.push_back(std::move(given));
     }
-    entry = grants_.erase(entry);
+    entry = SumOf(grant, &Demand) > SlotCount(0) ? std::next(entry)
+                                                 : grants_.erase(entry);
   }
   return returns;
 }
--- a/src/entry/TargetGrant.h
+++ b/src/entry/TargetGrant.h
@@ -15,6 +15,8 @@
 {
   /** Zero while none is held. */
   GrantId id;
+  /** The lease holder was told that it is not used any more. */
+  bool returned = false;
   Epoch epoch;
   SlotCount slots;
   /** No send at or after this, on the own clock, margin included. */
