--- a/tools/fault_proxy.cpp
+++ b/tools/fault_proxy.cpp
@@ -1,12 +1,11 @@
 #include "core/Log.h"
 #include "core/MonotonicClock.h"
+#include "flags/ProgramFlags.h"
 #include "standin/ProxyAdmin.h"
 #include "standin/ProxyPair.h"
 #include "standin/RunUntilSignal.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 ABSL_FLAG(std::vector<std::string>, listen, {}, "addresses to listen on");
 ABSL_FLAG(std::vector<std::string>,
@@ -55,8 +54,10 @@
 
 int main(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage("TCP relay whose faults are set over HTTP.");
-  absl::ParseCommandLine(aCount, aArguments);
+  lacewing::ParseProgramFlags("fault-proxy",
+                              "TCP relay whose faults are set over HTTP.",
+                              aCount,
+                              aArguments);
   lacewing::StartLogging(lacewing::LogLevel::kInfo);
   const lacewing::Outcome<void> run = lacewing::Run();
   if (!run) {
--- a/tools/lacewing_controld.cpp
+++ b/tools/lacewing_controld.cpp
@@ -2,34 +2,20 @@
 #include "control/ControlSettingsReader.h"
 #include "core/Log.h"
 #include "core/MonotonicClock.h"
+#include "flags/ProgramFlags.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <asio/signal_set.hpp>
 
-#include <algorithm>
 #include <csignal>
-#include <cstring>
 #include <iostream>
+#include <vector>
 
 ABSL_FLAG(std::string, settings, "", "TOML file with the settings");
 ABSL_FLAG(bool, check_settings, false, "read the settings and exit");
 
 namespace {
 
-/** Abseil's flag names have underscores; hyphens are accepted as well. */
-void AcceptHyphens(int aCount, char** aArguments)
-{
-  for (int i = 1; i < aCount; ++i) {
-    if (std::strncmp(aArguments[i], "--", 2) == 0) {
-      char* name = aArguments[i] + 2;
-      std::replace(name, name + std::strcspn(name, "="), '-', '_');
-    }
-  }
-}
-
 int Refuse(const lacewing::Error& aError)
 {
   std::cerr << "lacewing-controld: " << aError.ToString() << '\n';
@@ -61,16 +47,13 @@
 int main(int aCount, char** aArguments)
 {
   using namespace lacewing;
-  absl::SetProgramUsageMessage("Control daemon of lacewinghoist.\n"
-                               "lacewing-controld --settings FILE "
-                               "[--check-settings] [--version]");
-  absl::FlagsUsageConfig config;
-  config.version_string = [] {
-    return std::string("lacewing-controld " LACEWING_VERSION "\n");
-  };
-  absl::SetFlagsUsageConfig(config);
-  AcceptHyphens(aCount, aArguments);
-  if (absl::ParseCommandLine(aCount, aArguments).size() > 1) {
+  const std::vector<char*> arguments = ParseProgramFlags(
+    "lacewing-controld",
+    "Control daemon of lacewinghoist.\n"
+    "lacewing-controld --settings FILE [--check-settings] [--version]",
+    aCount,
+    aArguments);
+  if (!arguments.empty()) {
     std::cerr << "lacewing-controld: only flags are accepted; see --help\n";
     return 1;
   }
--- a/tools/lacewing_entryd.cpp
+++ b/tools/lacewing_entryd.cpp
@@ -2,33 +2,19 @@
 #include "core/MonotonicClock.h"
 #include "entry/EntryServer.h"
 #include "entry/EntrySettingsReader.h"
+#include "flags/ProgramFlags.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
-#include <algorithm>
-#include <cstring>
 #include <iostream>
 #include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, settings, "", "TOML file with the settings");
 ABSL_FLAG(bool, check_settings, false, "read the settings and exit");
 
 namespace {
 
-/** Abseil's flag names have underscores; hyphens are accepted as well. */
-void AcceptHyphens(int aCount, char** aArguments)
-{
-  for (int i = 1; i < aCount; ++i) {
-    if (std::strncmp(aArguments[i], "--", 2) == 0) {
-      char* name = aArguments[i] + 2;
-      std::replace(name, name + std::strcspn(name, "="), '-', '_');
-    }
-  }
-}
-
 int Refuse(const lacewing::Error& aError)
 {
   std::cerr << "lacewing-entryd: " << aError.ToString() << '\n';
@@ -64,16 +50,13 @@
 
 int main(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage("HTTP front end of lacewinghoist.\n"
-                               "lacewing-entryd --settings FILE "
-                               "[--check-settings] [--version]");
-  absl::FlagsUsageConfig config;
-  config.version_string = [] {
-    return std::string("lacewing-entryd " LACEWING_VERSION "\n");
-  };
-  absl::SetFlagsUsageConfig(config);
-  AcceptHyphens(aCount, aArguments);
-  if (absl::ParseCommandLine(aCount, aArguments).size() > 1) {
+  const std::vector<char*> arguments = lacewing::ParseProgramFlags(
+    "lacewing-entryd",
+    "HTTP front end of lacewinghoist.\n"
+    "lacewing-entryd --settings FILE [--check-settings] [--version]",
+    aCount,
+    aArguments);
+  if (!arguments.empty()) {
     std::cerr << "lacewing-entryd: only flags are accepted; see --help\n";
     return 1;
   }
--- a/tools/lacewing_load.cpp
+++ b/tools/lacewing_load.cpp
@@ -1,4 +1,5 @@
 #include "core/Log.h"
+#include "flags/ProgramFlags.h"
 #include "load/HtmlReport.h"
 #include "load/LoadRun.h"
 #include "load/ResultTable.h"
@@ -6,8 +7,6 @@
 #include "load/TomlFile.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <fmt/format.h>
 
 #include <chrono>
@@ -227,15 +226,17 @@
 
 int main(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage(
+  const std::vector<char*> arguments = lacewing::ParseProgramFlags(
+    "lacewing-load",
+
     "Open-loop load: lacewing-load [run] --experiment=FILE, or "
     "lacewing-load compare A.json B.json, lacewing-load report A.json A.html, "
     "or lacewing-load check --json=FILE --records=FILE --runs=FILE,... "
-    "--stats=FILE,...");
-  std::vector<char*> arguments = absl::ParseCommandLine(aCount, aArguments);
-  arguments.erase(arguments.begin());
+    "--stats=FILE,...",
+    aCount,
+    aArguments);
   lacewing::StartLogging(lacewing::LogLevel::kInfo);
-  const lacewing::Outcome<int> run = lacewing::RunCommand(std::move(arguments));
+  const lacewing::Outcome<int> run = lacewing::RunCommand(arguments);
   if (!run) {
     lacewing::Log(lacewing::LogLevel::kError,
                   "load",
--- a/tools/standin_platform.cpp
+++ b/tools/standin_platform.cpp
@@ -1,11 +1,10 @@
 #include "core/Log.h"
 #include "core/MonotonicClock.h"
+#include "flags/ProgramFlags.h"
 #include "standin/Platform.h"
 #include "standin/RunUntilSignal.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:7000", "address and port");
 ABSL_FLAG(double, reads_per_second, 2000, "reads and watches allowed");
@@ -18,9 +17,11 @@
 int main(int aCount, char** aArguments)
 {
   using namespace lacewing;
-  absl::SetProgramUsageMessage(
-    "Stand-in for the platform's object store and host list.");
-  absl::ParseCommandLine(aCount, aArguments);
+  lacewing::ParseProgramFlags(
+    "standin-platform",
+    "Stand-in for the platform's object store and host list.",
+    aCount,
+    aArguments);
   StartLogging(LogLevel::kInfo);
 
   PlatformFaults faults;
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -1,13 +1,12 @@
 #include "core/Log.h"
 #include "core/MonotonicClock.h"
+#include "flags/ProgramFlags.h"
 #include "standin/RunUntilSignal.h"
 #include "standin/Target.h"
 #include "standin/TargetAdmin.h"
 #include "standin/TargetSpecs.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 ABSL_FLAG(std::string, targets_file, "", "TOML file with the targets");
 ABSL_FLAG(std::vector<std::string>,
@@ -60,8 +59,8 @@
 
 int main(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage("Stand-in for targets.");
-  absl::ParseCommandLine(aCount, aArguments);
+  lacewing::ParseProgramFlags(
+    "standin-target", "Stand-in for targets.", aCount, aArguments);
   lacewing::StartLogging(lacewing::LogLevel::kInfo);
   const lacewing::Outcome<void> run = lacewing::Run();
   if (!run) {
