--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -19,7 +19,7 @@
 struct EntrySettings
 {
   /** Peers of another deployment are refused. */
-  std::string deployment;
+  std::string deployment = "default";
   HostId host;
   ZoneId zone;
   /** Where callers connect; every worker listens on it. */
