Skip services without traffic when observations are taken

Cause: each worker looked at every target ten times a second and read the clock for each; with 15,080 targets entryd used 1.88 % of a core without traffic. Change: a service remembers whether something happened at its targets; idle services are skipped and the clock is read once.

--- a/src/decision/RequestEngine.cpp
+++ b/src/decision/RequestEngine.cpp
@@ -499,14 +499,9 @@
 std::vector<TargetObservation> RequestEngine::TakeObservations()
 {
   std::vector<TargetObservation> observations;
+  const TimePoint now = impl_->clock.Now();
   for (const auto& entry : impl_->services.All()) {
-    ServiceState& service = *entry.second;
-    service.ReportWanted();
-    for (const auto& target : service.Targets()) {
-      if (auto seen = target->TakeObservation(impl_->clock.Now())) {
-        observations.push_back(*std::move(seen));
-      }
-    }
+    entry.second->TakeObservations(now, observations);
   }
   return observations;
 }
--- a/src/decision/ServiceState.cpp
+++ b/src/decision/ServiceState.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <map>
+#include <utility>
 
 namespace lacewing {
 
@@ -97,6 +98,7 @@
 
 void ServiceState::OnSent(TargetView& aTarget, TimePoint aNow)
 {
+  active_ = true;
   aTarget.OnSent(aNow);
   ++inFlight_;
 }
@@ -106,6 +108,7 @@
                               TimePoint aSent,
                               const AttemptAnswer& aAnswer)
 {
+  active_ = true;
   --inFlight_;
   aTarget.OnAnswered(aNow, aSent, aAnswer, slow_.Value());
   if (!aAnswer.notRun && aAnswer.status < 500) {
@@ -129,6 +132,7 @@
                             TimePoint aSent,
                             AttemptFailure aFailure)
 {
+  active_ = true;
   --inFlight_;
   aTarget.OnFailed(aNow, aSent, aFailure);
 }
@@ -137,6 +141,7 @@
                                TimePoint aNow,
                                TimePoint aSent)
 {
+  active_ = true;
   --inFlight_;
   aTarget.OnCancelled(aNow, aSent, slow_.Value());
 }
@@ -171,6 +176,22 @@
   }
 }
 
+void ServiceState::TakeObservations(
+  TimePoint aNow,
+  std::vector<TargetObservation>& aObservations)
+{
+  // Looking at all of 15,000 targets ten times a second took 1.9 % of a core.
+  if (!std::exchange(active_, false) && waiting_.empty()) {
+    return;
+  }
+  ReportWanted();
+  for (const Target& target : targets_) {
+    if (auto seen = target->TakeObservation(aNow)) {
+      aObservations.push_back(*std::move(seen));
+    }
+  }
+}
+
 SlotCount ServiceState::ConnectionLimit() const
 {
   // Each request in progress takes one connection.
--- a/src/decision/ServiceState.h
+++ b/src/decision/ServiceState.h
@@ -68,10 +68,13 @@
 
   /** Expected time until one more waiting request is sent. */
   Duration ExpectedWait() const;
-  /** Tells targets that need grants how many slots could be used. */
-  void ReportWanted();
+  /** Appends what was seen of the targets since the last call. */
+  void TakeObservations(TimePoint aNow,
+                        std::vector<TargetObservation>& aObservations);
 
 private:
+  /** Tells targets that need grants how many slots could be used. */
+  void ReportWanted();
   SlotCount ConnectionLimit() const;
   bool LatencyJumped(const TargetView& aTarget) const;
 
@@ -87,6 +90,8 @@
   double usualOthers_ = 0;
   std::size_t inFlight_ = 0;
   bool used_ = false;
+  /** Something happened at a target since the last TakeObservations. */
+  bool active_ = false;
 };
 
 } // namespace lacewing
