--- a/src/control/ControlDaemon.cpp
+++ b/src/control/ControlDaemon.cpp
@@ -1,10 +1,11 @@
 #include "control/ControlDaemon.h"
 
-#include "control/ControlPages.h"
+#include "control/ControlAdminSource.h"
 #include "control/ControlState.h"
 #include "control/MeshPlan.h"
 #include "control/RepeatingTimer.h"
 #include "core/Log.h"
+#include "net/AdminPages.h"
 #include "net/HttpServer.h"
 #include "wire/LeaseStateMessage.h"
 
@@ -59,7 +60,9 @@
         std::move(handlers),
         [this] { OnConfigChanged(); },
         [this](const LeaseStateEntry& aEntry) { OnLeaseChanged(aEntry); }));
-    pages_ = std::make_unique<ControlPages>(clock_, *state_);
+    pages_ = std::make_unique<AdminPages>(
+      "lacewing-controld",
+      std::make_unique<ControlAdminSource>(clock_, *state_));
     HttpServerOptions options;
     options.endpoint = aSettings.admin;
     BOOST_OUTCOME_TRY(
@@ -431,7 +434,7 @@
   bool listedOnce_ = false;
   std::function<void()> done_;
   std::unique_ptr<ControlState> state_;
-  std::unique_ptr<ControlPages> pages_;
+  std::unique_ptr<AdminPages> pages_;
   std::unique_ptr<HttpServer> admin_;
   std::vector<std::unique_ptr<RepeatingTimer>> timers_;
 };
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -1,24 +1,13 @@
 #include "control/ControlState.h"
 
+#include "core/NewIncarnation.h"
+
 #include <chrono>
 #include <random>
 #include <utility>
 
 namespace lacewing {
 
-namespace {
-
-/** Later runs get higher numbers as long as the host's date goes forward. */
-Incarnation MakeIncarnation()
-{
-  return Incarnation(static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count()));
-}
-
-} // namespace
-
 Outcome<std::unique_ptr<ControlState>> ControlState::Make(
   asio::io_context& aContext,
   const Clock& aClock,
@@ -39,7 +28,7 @@
                      aClock,
                      aSettings,
                      aTerms,
-                     MakeIncarnation(),
+                     NewIncarnation(),
                      std::move(links),
                      std::move(aConfigChanged),
                      std::move(aLeaseChanged)));
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -1,9 +1,11 @@
 #include "entry/EntryServer.h"
 
 #include "core/Log.h"
-#include "entry/AdminPages.h"
+#include "core/NewIncarnation.h"
+#include "entry/EntryAdminSource.h"
 #include "entry/EntryControl.h"
 #include "entry/GracefulStop.h"
+#include "net/AdminPages.h"
 #include "net/HttpServer.h"
 
 #include <asio/io_context.hpp>
@@ -15,18 +17,6 @@
 
 namespace lacewing {
 
-namespace {
-
-/** The start time; successive runs on one host get growing numbers. */
-Incarnation MakeIncarnation()
-{
-  const auto time = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation(static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
-}
-
-} // namespace
-
 struct EntryServer::Impl
 {
   explicit Impl(const EntrySettings& aSettings)
@@ -38,7 +28,7 @@
   Outcome<void> AddAdmin();
 
   EntrySettings settings;
-  Incarnation incarnation = MakeIncarnation();
+  Incarnation incarnation = NewIncarnation();
   asio::io_context context{ 1 };
   asio::signal_set signals{ context };
   EntryControl::Workers workers;
@@ -84,7 +74,9 @@
   constexpr ByteCount kMaxAdminBody(4096);
   options.maxConnections = kMaxAdminConnections;
   options.maxBody = kMaxAdminBody;
-  pages = std::make_unique<AdminPages>(settings, control->State());
+  pages = std::make_unique<AdminPages>(
+    "lacewing-entryd",
+    std::make_unique<EntryAdminSource>(settings, control->State()));
   BOOST_OUTCOME_TRY(
     admin,
     HttpServer::Make(context,
@@ -108,7 +100,7 @@
     impl->context, aClock, impl->settings, impl->incarnation, impl->workers);
   BOOST_OUTCOME_TRY(impl->AddAdmin());
   impl->stop = std::make_unique<GracefulStop>(
-    impl->context, *impl->control, impl->settings.drainDelay);
+    impl->context, aClock, *impl->control, impl->settings.drainDelay);
   return std::unique_ptr<EntryServer>(new EntryServer(std::move(impl)));
 }
 
--- a/src/entry/GracefulStop.cpp
+++ b/src/entry/GracefulStop.cpp
@@ -21,9 +21,11 @@
 } // namespace
 
 GracefulStop::GracefulStop(asio::io_context& aContext,
+                           const Clock& aClock,
                            EntryControl& aControl,
                            std::chrono::milliseconds aDrainDelay)
   : context_(aContext)
+  , clock_(aClock)
   , control_(aControl)
   , drainDelay_(aDrainDelay)
   , timer_(aContext)
@@ -49,17 +51,16 @@
 void GracefulStop::AfterDrain()
 {
   control_.Stop();
-  giveUp_ = std::chrono::steady_clock::now() + control_.LongestDeadline() +
-            kWriteReserve;
+  giveUp_ = clock_.Now() + control_.LongestDeadline() + kWriteReserve;
   Poll();
 }
 
 void GracefulStop::Poll()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const TimePoint now = clock_.Now();
   if (!allAnswered_ && control_.Idle()) {
     allAnswered_ = true;
-    giveUp_ = std::min(giveUp_, now + kGrantReserve);
+    giveUp_ = std::min<TimePoint>(giveUp_, now + kGrantReserve);
   }
   if ((allAnswered_ && control_.GrantsReturned()) || now >= giveUp_) {
     Log(allAnswered_ ? LogLevel::kInfo : LogLevel::kWarning,
--- a/src/entry/GracefulStop.h
+++ b/src/entry/GracefulStop.h
@@ -2,6 +2,7 @@
 #define ENTRY_GRACEFULSTOP_H
 
 #include "entry/EntryControl.h"
+#include "lacewing/Clock.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -16,6 +17,7 @@
 {
 public:
   GracefulStop(asio::io_context& aContext,
+               const Clock& aClock,
                EntryControl& aControl,
                std::chrono::milliseconds aDrainDelay);
 
@@ -30,10 +32,11 @@
   void Poll();
 
   asio::io_context& context_;
+  const Clock& clock_;
   EntryControl& control_;
   std::chrono::milliseconds drainDelay_;
   asio::steady_timer timer_;
-  std::chrono::steady_clock::time_point giveUp_;
+  TimePoint giveUp_;
   bool begun_ = false;
   bool allAnswered_ = false;
 };
--- a/src/entry/AdminPages.cpp
+++ b/src/net/AdminPages.cpp
@@ -1,7 +1,6 @@
-#include "entry/AdminPages.h"
+#include "net/AdminPages.h"
 
-#include "entry/EntryDump.h"
-#include "entry/EntryMetrics.h"
+#include <utility>
 
 namespace lacewing {
 
@@ -33,6 +32,13 @@
   { "/version", &AdminPages::Version },
 };
 
+AdminPages::AdminPages(std::string aProgram,
+                       std::unique_ptr<AdminSource> aSource)
+  : program_(std::move(aProgram))
+  , source_(std::move(aSource))
+{
+}
+
 HttpResponse AdminPages::Answer(const HttpRequest& aRequest) const
 {
   if (aRequest.method != "GET" && aRequest.method != "HEAD") {
@@ -54,25 +60,24 @@
 
 HttpResponse AdminPages::Ready() const
 {
-  return state_.Ready()
-           ? Text(200, "ready\n")
-           : Text(503, state_.stopping ? "stopping\n" : "no configuration\n");
+  const std::string reason = source_->NotReady();
+  return reason.empty() ? Text(200, "ready\n") : Text(503, reason + "\n");
 }
 
 HttpResponse AdminPages::Metrics() const
 {
   return Text(
-    200, MakeEntryMetrics(state_), "text/plain; version=0.0.4; charset=utf-8");
+    200, source_->Metrics(), "text/plain; version=0.0.4; charset=utf-8");
 }
 
 HttpResponse AdminPages::Dump() const
 {
-  return Text(200, MakeEntryDump(settings_, state_), "application/json");
+  return Text(200, source_->Dump(), "application/json");
 }
 
 HttpResponse AdminPages::Version() const
 {
-  return Text(200, "lacewing-entryd " LACEWING_VERSION "\n");
+  return Text(200, program_ + " " LACEWING_VERSION "\n");
 }
 
 } // namespace lacewing
--- a/src/control/ControlPages.h
+++ b/src/net/AdminPages.h
@@ -1,23 +1,20 @@
-#ifndef CONTROL_CONTROLPAGES_H
-#define CONTROL_CONTROLPAGES_H
+#ifndef NET_ADMINPAGES_H
+#define NET_ADMINPAGES_H
 
-#include "lacewing/Clock.h"
+#include "net/AdminSource.h"
 #include "net/HttpRequest.h"
 #include "net/HttpResponse.h"
 
-namespace lacewing {
+#include <memory>
+#include <string>
 
-class ControlState;
+namespace lacewing {
 
-/** The admin pages of design section 5.5. */
-class ControlPages
+/** The admin pages that every daemon has, see design section 5.5. */
+class AdminPages
 {
 public:
-  ControlPages(const Clock& aClock, const ControlState& aState)
-    : clock_(aClock)
-    , state_(aState)
-  {
-  }
+  AdminPages(std::string aProgram, std::unique_ptr<AdminSource> aSource);
 
   HttpResponse Answer(const HttpRequest& aRequest) const;
 
@@ -31,10 +28,10 @@
   struct Page;
   static const Page kPages[];
 
-  const Clock& clock_;
-  const ControlState& state_;
+  std::string program_;
+  std::unique_ptr<AdminSource> source_;
 };
 
 } // namespace lacewing
 
-#endif // CONTROL_CONTROLPAGES_H
+#endif // NET_ADMINPAGES_H
