--- a/src/control/ConfigExchange.cpp
+++ b/src/control/ConfigExchange.cpp
@@ -9,11 +9,11 @@
 
 ConfigExchange::ConfigExchange(const Clock& aClock,
                                const ControlTerms& aTerms,
-                               ConfigBook& aBook,
+                               ConfigState& aConfigs,
                                PeerLinks& aLinks)
   : clock_(aClock)
   , terms_(aTerms)
-  , book_(aBook)
+  , configs_(aConfigs)
   , links_(aLinks)
 {
 }
@@ -34,15 +34,15 @@
                                      [](const auto& aLeft, const auto& aRight) {
                                        return aLeft.second < aRight.second;
                                      });
-  if (best->second <= book_.Version()) {
+  if (best->second <= configs_.Version()) {
     return;
   }
   ConfigWantMessage want;
-  want.version = book_.Version();
+  want.version = configs_.Version();
   // A peer that is only a few versions ahead remembers what this one held.
   const bool recent =
     best->second.value() - want.version.value() < kRememberedVersions;
-  const HeldConfig* held = book_.InForce();
+  const HeldConfig* held = configs_.InForce();
   if (held != nullptr && (!recent || listHeld_)) {
     for (const auto& [name, entry] : held->loaded.head.entries) {
       want.held.push_back({ name.value(), entry.hash.value() });
@@ -62,7 +62,7 @@
   if (want.held.empty() && remembered != nullptr) {
     want.held = *remembered;
   }
-  if (want.version < book_.Version()) {
+  if (want.version < configs_.Version()) {
     wants_.erase(aLink);
     Answer(aLink, want);
   } else {
@@ -72,7 +72,8 @@
 
 void ConfigExchange::Answer(LinkId aLink, const Want& aWant)
 {
-  for (const ConfigMessage& part : SplitConfig(*book_.InForce(), aWant.held)) {
+  for (const ConfigMessage& part :
+       SplitConfig(*configs_.InForce(), aWant.held)) {
     links_.Send(aLink, part);
   }
 }
@@ -91,7 +92,7 @@
   Outcome<void> offered = outcome::success();
   if (whole) {
     EncodedConfig& config = *whole.value();
-    offered = book_.Offer(config.head, std::move(config.blobs));
+    offered = configs_.Offer(config.head, std::move(config.blobs));
   } else {
     offered = outcome::failure(whole.error());
   }
@@ -123,10 +124,10 @@
 
 void ConfigExchange::OnChanged()
 {
-  history_.Add(book_.InForce()->loaded.head);
+  history_.Add(configs_.InForce()->loaded.head);
   const auto wants = std::exchange(wants_, {});
   for (const auto& [link, want] : wants) {
-    if (want.version < book_.Version()) {
+    if (want.version < configs_.Version()) {
       Answer(link, want);
     } else {
       wants_.emplace(link, want);
--- a/src/control/ConfigExchange.h
+++ b/src/control/ConfigExchange.h
@@ -1,10 +1,10 @@
 #ifndef CONTROL_CONFIGEXCHANGE_H
 #define CONTROL_CONFIGEXCHANGE_H
 
-#include "control/ConfigBook.h"
 #include "control/ConfigCollector.h"
 #include "control/ConfigHistory.h"
 #include "control/ConfigParts.h"
+#include "control/ConfigState.h"
 #include "control/ControlTerms.h"
 #include "control/PeerLinks.h"
 #include "wire/ConfigWantMessage.h"
@@ -24,7 +24,7 @@
 public:
   ConfigExchange(const Clock& aClock,
                  const ControlTerms& aTerms,
-                 ConfigBook& aBook,
+                 ConfigState& aConfigs,
                  PeerLinks& aLinks);
 
   /** A controld said which version it has in force. */
@@ -58,7 +58,7 @@
 
   const Clock& clock_;
   ControlTerms terms_;
-  ConfigBook& book_;
+  ConfigState& configs_;
   ConfigHistory history_;
   /** Whether the next want has to list the objects that are held. */
   bool listHeld_ = false;
--- a/src/control/ConfigFollower.cpp
+++ b/src/control/ConfigFollower.cpp
@@ -51,11 +51,11 @@
 public:
   Impl(asio::io_context& aContext,
        ObjectStore& aStore,
-       ConfigBook& aBook,
+       ConfigState& aConfigs,
        const ControlTerms& aTerms,
        std::uint64_t aSeed)
     : store_(aStore)
-    , book_(aBook)
+    , configs_(aConfigs)
     , terms_(aTerms)
     , timer_(aContext)
     , random_(aSeed)
@@ -141,14 +141,14 @@
       return;
     }
     const ConfigVersion version = head.value().version;
-    if (version < book_.Version()) {
+    if (version < configs_.Version()) {
       // Watching the stale tag would return at once, again and again.
       ++counts_.staleHeads;
       tag_ = aValue.tag;
       BackOff();
       return;
     }
-    if (version == book_.Version()) {
+    if (version == configs_.Version()) {
       tag_ = aValue.tag;
       Continue();
       return;
@@ -156,7 +156,7 @@
     headTag_ = aValue.tag;
     head_ = std::move(head).value();
     blobs_.clear();
-    const auto missing = book_.Missing(head_);
+    const auto missing = configs_.Missing(head_);
     queue_.assign(missing.begin(), missing.end());
     failure_.reset();
     FetchMore();
@@ -212,7 +212,7 @@
         return;
       }
     }
-    const auto offered = book_.Offer(head_, std::move(blobs_));
+    const auto offered = configs_.Offer(head_, std::move(blobs_));
     blobs_.clear();
     if (!offered && offered.error().kind != ErrorKind::kConflict) {
       tag_.reset();
@@ -240,7 +240,7 @@
         "invalid_object",
         { { "key", aKey.value() },
           { "error", aError.ToString() },
-          { "version_in_force", std::to_string(book_.Version().value()) } });
+          { "version_in_force", std::to_string(configs_.Version().value()) } });
     BackOff();
   }
 
@@ -282,7 +282,7 @@
   }
 
   ObjectStore& store_;
-  ConfigBook& book_;
+  ConfigState& configs_;
   ControlTerms terms_;
   ConfigFollowerCounts counts_;
   asio::steady_timer timer_;
@@ -306,10 +306,10 @@
 
 ConfigFollower::ConfigFollower(asio::io_context& aContext,
                                ObjectStore& aStore,
-                               ConfigBook& aBook,
+                               ConfigState& aConfigs,
                                const ControlTerms& aTerms,
                                std::uint64_t aSeed)
-  : impl_(std::make_shared<Impl>(aContext, aStore, aBook, aTerms, aSeed))
+  : impl_(std::make_shared<Impl>(aContext, aStore, aConfigs, aTerms, aSeed))
 {
 }
 
--- a/src/control/ConfigFollower.h
+++ b/src/control/ConfigFollower.h
@@ -1,8 +1,8 @@
 #ifndef CONTROL_CONFIGFOLLOWER_H
 #define CONTROL_CONFIGFOLLOWER_H
 
-#include "control/ConfigBook.h"
 #include "control/ConfigFollowerCounts.h"
+#include "control/ConfigState.h"
 #include "control/ControlTerms.h"
 #include "store/ObjectStore.h"
 
@@ -14,17 +14,17 @@
 namespace lacewing {
 
 /**
- * Brings the configuration from the store into a ConfigBook: reads the head,
+ * Brings the configuration from the store into a ConfigState: reads the head,
  * fetches the blobs that differ and offers them. While watching it waits for
  * changes by long poll, otherwise it reads the head at long intervals. Lower
- * versions and invalid objects leave the book unchanged.
+ * versions and invalid objects leave the configuration in force unchanged.
  */
 class ConfigFollower
 {
 public:
   ConfigFollower(asio::io_context& aContext,
                  ObjectStore& aStore,
-                 ConfigBook& aBook,
+                 ConfigState& aConfigs,
                  const ControlTerms& aTerms,
                  std::uint64_t aSeed);
   ~ConfigFollower();
--- a/src/control/ConfigBook.cpp
+++ b/src/control/ConfigState.cpp
@@ -1,4 +1,4 @@
-#include "control/ConfigBook.h"
+#include "control/ConfigState.h"
 
 #include "config/ConfigAssembler.h"
 
@@ -6,22 +6,22 @@
 
 namespace lacewing {
 
-ConfigBook::ConfigBook(std::function<void()> aChanged)
+ConfigState::ConfigState(std::function<void()> aChanged)
   : changed_(std::move(aChanged))
 {
 }
 
-ConfigVersion ConfigBook::Version() const
+ConfigVersion ConfigState::Version() const
 {
   return held_ ? held_->loaded.head.version : ConfigVersion();
 }
 
-std::vector<ObjectName> ConfigBook::Missing(const ConfigHead& aHead) const
+std::vector<ObjectName> ConfigState::Missing(const ConfigHead& aHead) const
 {
   return ChangedObjects(held_ ? held_->loaded.head : ConfigHead(), aHead);
 }
 
-Outcome<void> ConfigBook::Offer(const ConfigHead& aHead, BlobMap aBlobs)
+Outcome<void> ConfigState::Offer(const ConfigHead& aHead, BlobMap aBlobs)
 {
   if (aHead.version <= Version()) {
     return Fail(ErrorKind::kConflict,
--- a/src/control/ConfigBook.h
+++ b/src/control/ConfigState.h
@@ -1,5 +1,5 @@
-#ifndef CONTROL_CONFIGBOOK_H
-#define CONTROL_CONFIGBOOK_H
+#ifndef CONTROL_CONFIGSTATE_H
+#define CONTROL_CONFIGSTATE_H
 
 #include "config/BlobMap.h"
 #include "config/ConfigHead.h"
@@ -11,11 +11,11 @@
 namespace lacewing {
 
 /** The configuration in force on this host; its version only grows. */
-class ConfigBook
+class ConfigState
 {
 public:
   /** aChanged runs after each new version came into force. */
-  explicit ConfigBook(std::function<void()> aChanged);
+  explicit ConfigState(std::function<void()> aChanged);
 
   /** Null before the first configuration. */
   const HeldConfig* InForce() const { return held_.get(); }
@@ -38,4 +38,4 @@
 
 } // namespace lacewing
 
-#endif // CONTROL_CONFIGBOOK_H
+#endif // CONTROL_CONFIGSTATE_H
--- a/src/control/ControlAdminSource.cpp
+++ b/src/control/ControlAdminSource.cpp
@@ -11,7 +11,7 @@
   if (state_.stopping) {
     return "stopping";
   }
-  return state_.book.InForce() != nullptr ? "" : "no configuration";
+  return state_.configs.InForce() != nullptr ? "" : "no configuration";
 }
 
 std::string ControlAdminSource::Metrics() const
--- a/src/control/ControlDaemon.cpp
+++ b/src/control/ControlDaemon.cpp
@@ -125,13 +125,13 @@
     hello.zone = self.zone;
     hello.address = self.address;
     hello.incarnation = self.incarnation;
-    hello.version = state_->book.Version();
+    hello.version = state_->configs.Version();
     return hello;
   }
 
   void OnReady(LinkId aLink)
   {
-    state_->phaseDesk.OnReady(aLink);
+    state_->phaseManager.OnReady(aLink);
     const HelloMessage& hello = *state_->links->HelloOf(aLink);
     if (hello.role == WireRole::kEntry) {
       return;
@@ -209,9 +209,9 @@
   {
     BOOST_OUTCOME_TRY(const auto message,
                       DecodeMessage<TargetReportMessage>(aFrame));
-    state_->phaseDesk.OnReport(message);
+    state_->phaseManager.OnReport(message);
     if (state_->links->HelloOf(aLink)->role == WireRole::kEntry) {
-      state_->grantDesk.ForwardReport(message);
+      state_->grantManager.ForwardReport(message);
     }
     return outcome::success();
   }
@@ -221,7 +221,7 @@
     BOOST_OUTCOME_TRY(const auto message,
                       DecodeMessage<TargetStateMessage>(aFrame));
     const bool entry = state_->links->HelloOf(aLink)->role == WireRole::kEntry;
-    state_->phaseDesk.OnState(aLink, message, entry || !fullMesh_);
+    state_->phaseManager.OnState(aLink, message, entry || !fullMesh_);
     return outcome::success();
   }
 
@@ -245,14 +245,14 @@
   {
     BOOST_OUTCOME_TRY(const auto message,
                       DecodeMessage<GrantWantMessage>(aFrame));
-    state_->grantDesk.OnWant(aLink, message);
+    state_->grantManager.OnWant(aLink, message);
     return outcome::success();
   }
 
   Outcome<void> OnGrant(LinkId, const nlohmann::json& aFrame)
   {
     BOOST_OUTCOME_TRY(const auto message, DecodeMessage<GrantMessage>(aFrame));
-    state_->grantDesk.OnGrant(message);
+    state_->grantManager.OnGrant(message);
     return outcome::success();
   }
 
@@ -260,7 +260,7 @@
   {
     BOOST_OUTCOME_TRY(const auto message,
                       DecodeMessage<GrantReturnMessage>(aFrame));
-    state_->grantDesk.OnReturn(aLink, message);
+    state_->grantManager.OnReturn(aLink, message);
     return outcome::success();
   }
 
@@ -275,23 +275,23 @@
   void OnConfigChanged()
   {
     const Configuration& configuration =
-      *state_->book.InForce()->loaded.configuration;
+      *state_->configs.InForce()->loaded.configuration;
     Log(LogLevel::kInfo,
         "config_in_force",
         { { "version", std::to_string(configuration.version.value()) } });
     state_->index.Set(configuration);
-    state_->phaseDesk.OnConfig();
-    state_->grantDesk.OnConfig();
+    state_->phaseManager.OnConfig();
+    state_->grantManager.OnConfig();
     state_->configExchange.OnChanged();
     // Peers learn of the version at once and ask for it.
-    state_->memberExchange.SendHeartbeats(state_->book.Version());
+    state_->memberExchange.SendHeartbeats(state_->configs.Version());
   }
 
   void OnLeaseChanged(const LeaseStateEntry& aEntry)
   {
     if (aEntry.holder == state_->settings.host &&
         state_->leases.Holds(aEntry.shard)) {
-      state_->grantDesk.OnLeaseHeld(aEntry.shard, aEntry.epoch);
+      state_->grantManager.OnLeaseHeld(aEntry.shard, aEntry.epoch);
     }
     state_->links->Send(state_->links->Controls(),
                         LeaseStateMessage{ { aEntry } });
@@ -301,7 +301,7 @@
   {
     state_->members.OnTimer();
     ConnectPeers();
-    state_->memberExchange.SendHeartbeats(state_->book.Version());
+    state_->memberExchange.SendHeartbeats(state_->configs.Version());
     state_->memberExchange.SendNews();
     state_->configExchange.OnTimer();
     state_->follower.SetWatching(ShouldWatch());
@@ -338,7 +338,7 @@
     fullMesh_ = state_->members.Usable().size() <= terms_.fullMeshHosts;
     state_->members.SetExpected(peers);
     const TimePoint now = clock_.Now();
-    for (const HostId& host : state_->grantDesk.TakeUnreached()) {
+    for (const HostId& host : state_->grantManager.TakeUnreached()) {
       direct_[host] = now + kDirectTime;
     }
     for (auto direct = direct_.begin(); direct != direct_.end();) {
@@ -386,10 +386,10 @@
   Duration OnTick()
   {
     state_->leases.OnTimer();
-    state_->grantDesk.OnTimer();
+    state_->grantManager.OnTimer();
     if (nextPhases_ <= clock_.Now()) {
       nextPhases_ = clock_.Now() + kPhaseTime;
-      state_->phaseDesk.OnTimer();
+      state_->phaseManager.OnTimer();
     }
     const bool stopped = state_->stopping && (state_->leases.Released() ||
                                               stopUntil_ <= clock_.Now());
--- a/src/control/ControlDump.cpp
+++ b/src/control/ControlDump.cpp
@@ -58,7 +58,7 @@
 {
   const PeerCounts& peers = aState.links->Counts();
   const ConfigFollowerCounts& follower = aState.follower.Counts();
-  const GrantCounts& grants = aState.grantDesk.Counts();
+  const GrantCounts& grants = aState.grantManager.Counts();
   json counters{ { "malformed_frames", peers.malformed },
                  { "refused_hellos", peers.refused },
                  { "unknown_kinds", peers.unknownKinds },
@@ -95,14 +95,14 @@
                    { "deployment", aState.settings.deployment },
                    { "incarnation",
                      aState.members.Self().entry.incarnation.value() },
-                   { "config_version", aState.book.Version().value() },
+                   { "config_version", aState.configs.Version().value() },
                    { "stopping", aState.stopping },
                    { "watching", aState.follower.Watching() },
                    { "peers_connected", aState.links->Controls().size() },
                    { "entries_connected", aState.links->Entries().size() },
                    { "members", DumpMembers(aClock, aState.members) },
                    { "leases", DumpLeases(aState) },
-                   { "targets", DumpPhases(aState.phaseDesk.Phases()) },
+                   { "targets", DumpPhases(aState.phaseManager.Phases()) },
                    { "counters", DumpCounters(aState) } };
   // Ids come from peers as well and need not be valid UTF-8.
   return dump.dump(1, ' ', false, json::error_handler_t::replace) + "\n";
--- a/src/control/ControlMetrics.cpp
+++ b/src/control/ControlMetrics.cpp
@@ -69,7 +69,7 @@
   aPage.AddGauge("lacewing_control_config_version",
                  "Version of the configuration in force.",
                  {},
-                 static_cast<double>(aState.book.Version().value()));
+                 static_cast<double>(aState.configs.Version().value()));
   std::map<const char*, double> states;
   for (const auto& [host, member] : aState.members.All()) {
     states[ToString(member.entry.state)] += 1;
@@ -88,7 +88,7 @@
                  "Controlds connected.",
                  {},
                  static_cast<double>(aState.links->Controls().size()));
-  const GrantCounts& grants = aState.grantDesk.Counts();
+  const GrantCounts& grants = aState.grantManager.Counts();
   aPage.AddCounter("lacewing_control_grants_given_total",
                    "Cold-start grants given.",
                    {},
--- a/src/control/ControlState.cpp
+++ b/src/control/ControlState.cpp
@@ -53,10 +53,10 @@
               aSettings.zone,
               aIncarnation,
               MemberState::kLive })
-  , book(std::move(aConfigChanged))
+  , configs(std::move(aConfigChanged))
   , store(aContext, { aSettings.platform })
   , links(std::move(aLinks))
-  , follower(aContext, store, book, aTerms, std::random_device()())
+  , follower(aContext, store, configs, aTerms, std::random_device()())
   , leases(aClock,
            store,
            aSettings.host,
@@ -64,18 +64,18 @@
            leaseDirectory,
            std::move(aLeaseChanged))
   , memberExchange(aClock, members, *links)
-  , configExchange(aClock, aTerms, book, *links)
-  , phaseDesk(aClock,
-              index,
-              *links,
-              [this](ShardId aShard) { return leases.Holds(aShard); })
-  , grantDesk(aClock,
-              aSettings.host,
-              index,
-              phaseDesk.Phases(),
-              leaseDirectory,
-              *links,
-              [this](ShardId aShard) { return leases.Holds(aShard); })
+  , configExchange(aClock, aTerms, configs, *links)
+  , phaseManager(aClock,
+                 index,
+                 *links,
+                 [this](ShardId aShard) { return leases.Holds(aShard); })
+  , grantManager(aClock,
+                 aSettings.host,
+                 index,
+                 phaseManager.Phases(),
+                 leaseDirectory,
+                 *links,
+                 [this](ShardId aShard) { return leases.Holds(aShard); })
 {
 }
 
--- a/src/control/ControlState.h
+++ b/src/control/ControlState.h
@@ -1,14 +1,14 @@
 #ifndef CONTROL_CONTROLSTATE_H
 #define CONTROL_CONTROLSTATE_H
 
-#include "control/ConfigBook.h"
 #include "control/ConfigExchange.h"
 #include "control/ConfigFollower.h"
+#include "control/ConfigState.h"
 #include "control/ControlSettings.h"
-#include "control/GrantDesk.h"
-#include "control/LeaseDesk.h"
+#include "control/GrantManager.h"
+#include "control/LeaseManager.h"
 #include "control/MemberExchange.h"
-#include "control/PhaseDesk.h"
+#include "control/PhaseManager.h"
 #include "store/HttpObjectStore.h"
 
 #include <asio/io_context.hpp>
@@ -40,17 +40,17 @@
   const Incarnation incarnation;
   bool stopping = false;
   MemberTable members;
-  ConfigBook book;
+  ConfigState configs;
   TargetIndex index;
   HttpObjectStore store;
   LeaseDirectory leaseDirectory;
   std::unique_ptr<PeerLinks> links;
   ConfigFollower follower;
-  LeaseDesk leases;
+  LeaseManager leases;
   MemberExchange memberExchange;
   ConfigExchange configExchange;
-  PhaseDesk phaseDesk;
-  GrantDesk grantDesk;
+  PhaseManager phaseManager;
+  GrantManager grantManager;
 
 private:
   ControlState(asio::io_context& aContext,
--- a/src/control/GrantCounts.h
+++ b/src/control/GrantCounts.h
@@ -5,7 +5,7 @@
 
 namespace lacewing {
 
-/** What a GrantDesk did since its start. */
+/** What a GrantManager did since its start. */
 struct GrantCounts
 {
   std::uint64_t wants = 0;
--- a/src/control/GrantDesk.cpp
+++ b/src/control/GrantManager.cpp
@@ -1,4 +1,4 @@
-#include "control/GrantDesk.h"
+#include "control/GrantManager.h"
 
 #include "decision/PhaseTable.h"
 
@@ -7,13 +7,13 @@
 
 namespace lacewing {
 
-GrantDesk::GrantDesk(const Clock& aClock,
-                     const HostId& aSelf,
-                     const TargetIndex& aIndex,
-                     const PhaseTable& aPhases,
-                     const LeaseDirectory& aDirectory,
-                     PeerLinks& aLinks,
-                     LeaseCheck aHolds)
+GrantManager::GrantManager(const Clock& aClock,
+                           const HostId& aSelf,
+                           const TargetIndex& aIndex,
+                           const PhaseTable& aPhases,
+                           const LeaseDirectory& aDirectory,
+                           PeerLinks& aLinks,
+                           LeaseCheck aHolds)
   : clock_(aClock)
   , self_(aSelf)
   , index_(aIndex)
@@ -24,7 +24,7 @@
 {
 }
 
-void GrantDesk::OnLeaseHeld(ShardId aShard, Epoch aEpoch)
+void GrantManager::OnLeaseHeld(ShardId aShard, Epoch aEpoch)
 {
   GrantTerms terms;
   terms.longestDeadline =
@@ -36,7 +36,7 @@
                    }));
 }
 
-void GrantDesk::OnConfig()
+void GrantManager::OnConfig()
 {
   for (auto& [shard, ledger] : ledgers_) {
     ledger.RaiseLongestDeadline(index_.LongestDeadline());
@@ -44,10 +44,10 @@
 }
 
 template<class Message, class Entry>
-void GrantDesk::Forward(ShardId aShard,
-                        const Entry& aEntry,
-                        std::vector<Entry> Message::*aList,
-                        std::map<LinkId, Message>& aMessages)
+void GrantManager::Forward(ShardId aShard,
+                           const Entry& aEntry,
+                           std::vector<Entry> Message::*aList,
+                           std::map<LinkId, Message>& aMessages)
 {
   const HostId holder = directory_.Holder(aShard);
   const auto link =
@@ -63,10 +63,10 @@
 }
 
 template<class Message, class Entry>
-void GrantDesk::Route(LinkId aLink,
-                      const std::vector<Entry>& aEntries,
-                      std::vector<Entry> Message::*aList,
-                      void (GrantDesk::*aTake)(ShardId, const Entry&))
+void GrantManager::Route(LinkId aLink,
+                         const std::vector<Entry>& aEntries,
+                         std::vector<Entry> Message::*aList,
+                         void (GrantManager::*aTake)(ShardId, const Entry&))
 {
   const HelloMessage* hello = links_.HelloOf(aLink);
   if (hello == nullptr) {
@@ -96,23 +96,23 @@
   }
 }
 
-void GrantDesk::OnWant(LinkId aLink, const GrantWantMessage& aMessage)
+void GrantManager::OnWant(LinkId aLink, const GrantWantMessage& aMessage)
 {
   Route(
-    aLink, aMessage.grants, &GrantWantMessage::grants, &GrantDesk::TakeWant);
+    aLink, aMessage.grants, &GrantWantMessage::grants, &GrantManager::TakeWant);
   Give();
 }
 
-void GrantDesk::OnReturn(LinkId aLink, const GrantReturnMessage& aMessage)
+void GrantManager::OnReturn(LinkId aLink, const GrantReturnMessage& aMessage)
 {
   Route(aLink,
         aMessage.grants,
         &GrantReturnMessage::grants,
-        &GrantDesk::TakeReturn);
+        &GrantManager::TakeReturn);
   Give();
 }
 
-void GrantDesk::TakeWant(ShardId aShard, const GrantWantEntry& aEntry)
+void GrantManager::TakeWant(ShardId aShard, const GrantWantEntry& aEntry)
 {
   const auto ledger = ledgers_.find(aShard);
   if (ledger == ledgers_.end()) {
@@ -126,7 +126,7 @@
                           TimePoint(aEntry.sent) });
 }
 
-void GrantDesk::TakeReturn(ShardId aShard, const GrantReturnEntry& aEntry)
+void GrantManager::TakeReturn(ShardId aShard, const GrantReturnEntry& aEntry)
 {
   const auto ledger = ledgers_.find(aShard);
   if (ledger == ledgers_.end()) {
@@ -137,12 +137,12 @@
     { { aEntry.host, aEntry.incarnation }, aEntry.target, aEntry.lastGrant });
 }
 
-void GrantDesk::OnTimer()
+void GrantManager::OnTimer()
 {
   Give();
 }
 
-void GrantDesk::Give()
+void GrantManager::Give()
 {
   std::map<HostId, std::vector<GrantEntry>> grants;
   for (auto& [shard, ledger] : ledgers_) {
@@ -170,12 +170,12 @@
   }
 }
 
-void GrantDesk::OnGrant(const GrantMessage& aMessage)
+void GrantManager::OnGrant(const GrantMessage& aMessage)
 {
   Deliver(aMessage.grants);
 }
 
-void GrantDesk::Deliver(const std::vector<GrantEntry>& aGrants)
+void GrantManager::Deliver(const std::vector<GrantEntry>& aGrants)
 {
   for (const LinkId link : links_.Entries()) {
     const Incarnation run = links_.HelloOf(link)->incarnation;
@@ -191,7 +191,7 @@
   }
 }
 
-void GrantDesk::ForwardReport(const TargetReportMessage& aReport)
+void GrantManager::ForwardReport(const TargetReportMessage& aReport)
 {
   std::map<LinkId, TargetReportMessage> messages;
   for (const TargetReportEntry& entry : aReport.targets) {
@@ -208,7 +208,7 @@
   }
 }
 
-std::vector<HostId> GrantDesk::TakeUnreached()
+std::vector<HostId> GrantManager::TakeUnreached()
 {
   return std::exchange(unreached_, {});
 }
--- a/src/control/GrantDesk.h
+++ b/src/control/GrantManager.h
@@ -1,5 +1,5 @@
-#ifndef CONTROL_GRANTDESK_H
-#define CONTROL_GRANTDESK_H
+#ifndef CONTROL_GRANTMANAGER_H
+#define CONTROL_GRANTMANAGER_H
 
 #include "control/GrantCounts.h"
 #include "control/LeaseDirectory.h"
@@ -21,18 +21,18 @@
  * Gives grants for the shards whose lease is held here, and passes the wants,
  * returns and reports of the own entryd on to the other lease holders.
  */
-class GrantDesk
+class GrantManager
 {
 public:
   using LeaseCheck = std::function<bool(ShardId)>;
 
-  GrantDesk(const Clock& aClock,
-            const HostId& aSelf,
-            const TargetIndex& aIndex,
-            const PhaseTable& aPhases,
-            const LeaseDirectory& aDirectory,
-            PeerLinks& aLinks,
-            LeaseCheck aHolds);
+  GrantManager(const Clock& aClock,
+               const HostId& aSelf,
+               const TargetIndex& aIndex,
+               const PhaseTable& aPhases,
+               const LeaseDirectory& aDirectory,
+               PeerLinks& aLinks,
+               LeaseCheck aHolds);
 
   /** The index changed. */
   void OnConfig();
@@ -57,7 +57,7 @@
   void Route(LinkId aLink,
              const std::vector<Entry>& aEntries,
              std::vector<Entry> Message::*aList,
-             void (GrantDesk::*aTake)(ShardId, const Entry&));
+             void (GrantManager::*aTake)(ShardId, const Entry&));
   template<class Message, class Entry>
   void Forward(ShardId aShard,
                const Entry& aEntry,
@@ -82,4 +82,4 @@
 
 } // namespace lacewing
 
-#endif // CONTROL_GRANTDESK_H
+#endif // CONTROL_GRANTMANAGER_H
--- a/src/control/LeaseDesk.cpp
+++ b/src/control/LeaseManager.cpp
@@ -1,4 +1,4 @@
-#include "control/LeaseDesk.h"
+#include "control/LeaseManager.h"
 
 #include "control/LeaseRecordCodec.h"
 #include "core/Log.h"
@@ -9,12 +9,12 @@
 
 namespace lacewing {
 
-LeaseDesk::LeaseDesk(const Clock& aClock,
-                     ObjectStore& aStore,
-                     const HostId& aSelf,
-                     Incarnation aIncarnation,
-                     LeaseDirectory& aDirectory,
-                     std::function<void(const LeaseStateEntry&)> aChanged)
+LeaseManager::LeaseManager(const Clock& aClock,
+                           ObjectStore& aStore,
+                           const HostId& aSelf,
+                           Incarnation aIncarnation,
+                           LeaseDirectory& aDirectory,
+                           std::function<void(const LeaseStateEntry&)> aChanged)
   : clock_(aClock)
   , store_(aStore)
   , self_(aSelf)
@@ -28,16 +28,16 @@
   }
 }
 
-LeaseDesk::~LeaseDesk() = default;
+LeaseManager::~LeaseManager() = default;
 
-void LeaseDesk::OnUsableHosts(const std::vector<HostId>& aHosts)
+void LeaseManager::OnUsableHosts(const std::vector<HostId>& aHosts)
 {
   for (auto& [shard, keeper] : keepers_) {
     Run(shard, keeper.OnRank(LeaseRank(shard.value(), self_, aHosts)));
   }
 }
 
-void LeaseDesk::OnTimer()
+void LeaseManager::OnTimer()
 {
   const TimePoint now = clock_.Now();
   for (auto& [shard, keeper] : keepers_) {
@@ -48,27 +48,27 @@
   }
 }
 
-void LeaseDesk::OnStopping()
+void LeaseManager::OnStopping()
 {
   for (auto& [shard, keeper] : keepers_) {
     Run(shard, keeper.OnStopping());
   }
 }
 
-bool LeaseDesk::Released() const
+bool LeaseManager::Released() const
 {
   return std::all_of(keepers_.begin(), keepers_.end(), [](const auto& aEntry) {
     return aEntry.second.Released();
   });
 }
 
-bool LeaseDesk::Holds(ShardId aShard) const
+bool LeaseManager::Holds(ShardId aShard) const
 {
   const auto keeper = keepers_.find(aShard);
   return keeper != keepers_.end() && keeper->second.Holds();
 }
 
-std::vector<ShardId> LeaseDesk::Held() const
+std::vector<ShardId> LeaseManager::Held() const
 {
   std::vector<ShardId> held;
   for (const auto& [shard, keeper] : keepers_) {
@@ -79,7 +79,7 @@
   return held;
 }
 
-void LeaseDesk::Run(ShardId aShard, LeaseAction aAction)
+void LeaseManager::Run(ShardId aShard, LeaseAction aAction)
 {
   if (!aAction) {
     return;
@@ -91,7 +91,7 @@
   }
 }
 
-void LeaseDesk::Apply(ShardId aShard, const Event& aEvent)
+void LeaseManager::Apply(ShardId aShard, const Event& aEvent)
 {
   LeaseKeeper& keeper = keepers_.at(aShard);
   const LeaseAction next = aEvent(keeper);
@@ -108,7 +108,7 @@
   Run(aShard, next);
 }
 
-void LeaseDesk::Read(ShardId aShard)
+void LeaseManager::Read(ShardId aShard)
 {
   store_.Get(LeaseKey(aShard),
              [this, alive = std::weak_ptr<int>(alive_), aShard](
@@ -119,7 +119,7 @@
              });
 }
 
-void LeaseDesk::OnRead(ShardId aShard, const Outcome<ObjectValue>& aValue)
+void LeaseManager::OnRead(ShardId aShard, const Outcome<ObjectValue>& aValue)
 {
   if (aValue) {
     const LeaseRecord record = Decode(aShard, aValue.value());
@@ -136,7 +136,7 @@
   });
 }
 
-LeaseRecord LeaseDesk::Decode(ShardId aShard, const ObjectValue& aValue)
+LeaseRecord LeaseManager::Decode(ShardId aShard, const ObjectValue& aValue)
 {
   auto record = DecodeLease(aValue.body);
   if (record) {
@@ -151,7 +151,7 @@
   return LeaseRecord();
 }
 
-void LeaseDesk::Note(ShardId aShard, const LeaseRecord& aRecord)
+void LeaseManager::Note(ShardId aShard, const LeaseRecord& aRecord)
 {
   const LeaseStateEntry entry{ aShard,
                                aRecord.released ? HostId() : aRecord.holder,
@@ -161,7 +161,7 @@
   }
 }
 
-void LeaseDesk::Write(ShardId aShard, const LeaseWrite& aWrite)
+void LeaseManager::Write(ShardId aShard, const LeaseWrite& aWrite)
 {
   store_.Put(LeaseKey(aShard),
              EncodeLease(aWrite.record),
@@ -174,7 +174,7 @@
              });
 }
 
-void LeaseDesk::OnWritten(ShardId aShard, const Outcome<ObjectTag>& aTag)
+void LeaseManager::OnWritten(ShardId aShard, const Outcome<ObjectTag>& aTag)
 {
   Apply(aShard, [&](LeaseKeeper& aKeeper) {
     if (aTag) {
--- a/src/control/LeaseDesk.h
+++ b/src/control/LeaseManager.h
@@ -1,5 +1,5 @@
-#ifndef CONTROL_LEASEDESK_H
-#define CONTROL_LEASEDESK_H
+#ifndef CONTROL_LEASEMANAGER_H
+#define CONTROL_LEASEMANAGER_H
 
 #include "control/LeaseDirectory.h"
 #include "decision/LeaseKeeper.h"
@@ -14,20 +14,20 @@
 namespace lacewing {
 
 /** Runs a LeaseKeeper for each shard against the store. */
-class LeaseDesk
+class LeaseManager
 {
 public:
   /**
    * aChanged runs after an entry of the directory changed, and after a lease
    * was taken over.
    */
-  LeaseDesk(const Clock& aClock,
-            ObjectStore& aStore,
-            const HostId& aSelf,
-            Incarnation aIncarnation,
-            LeaseDirectory& aDirectory,
-            std::function<void(const LeaseStateEntry&)> aChanged);
-  ~LeaseDesk();
+  LeaseManager(const Clock& aClock,
+               ObjectStore& aStore,
+               const HostId& aSelf,
+               Incarnation aIncarnation,
+               LeaseDirectory& aDirectory,
+               std::function<void(const LeaseStateEntry&)> aChanged);
+  ~LeaseManager();
 
   /** Ranks the candidates of every shard anew. */
   void OnUsableHosts(const std::vector<HostId>& aHosts);
@@ -68,4 +68,4 @@
 
 } // namespace lacewing
 
-#endif // CONTROL_LEASEDESK_H
+#endif // CONTROL_LEASEMANAGER_H
--- a/src/control/PhaseDesk.cpp
+++ b/src/control/PhaseManager.cpp
@@ -1,4 +1,4 @@
-#include "control/PhaseDesk.h"
+#include "control/PhaseManager.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,10 +16,10 @@
 
 } // namespace
 
-PhaseDesk::PhaseDesk(const Clock& aClock,
-                     const TargetIndex& aIndex,
-                     PeerLinks& aLinks,
-                     LeaseCheck aHolds)
+PhaseManager::PhaseManager(const Clock& aClock,
+                           const TargetIndex& aIndex,
+                           PeerLinks& aLinks,
+                           LeaseCheck aHolds)
   : index_(aIndex)
   , links_(aLinks)
   , holds_(std::move(aHolds))
@@ -27,7 +27,7 @@
 {
 }
 
-void PhaseDesk::OnConfig()
+void PhaseManager::OnConfig()
 {
   for (auto target = known_.begin(); target != known_.end();) {
     if (index_.Find(*target) == nullptr) {
@@ -57,7 +57,7 @@
   }
 }
 
-void PhaseDesk::KeepEarly(const PhaseRecord& aRecord)
+void PhaseManager::KeepEarly(const PhaseRecord& aRecord)
 {
   if (early_.size() >= kMaxEarly && early_.count(aRecord.target) == 0) {
     return;
@@ -69,7 +69,7 @@
   }
 }
 
-void PhaseDesk::Note(const PhaseRecord& aRecord)
+void PhaseManager::Note(const PhaseRecord& aRecord)
 {
   // A cold target starts to move with its first good answer.
   if (aRecord.phase == TargetPhase::kRamping) {
@@ -79,7 +79,8 @@
   }
 }
 
-TargetStateMessage PhaseDesk::Message(const std::vector<PhaseRecord>& aRecords)
+TargetStateMessage PhaseManager::Message(
+  const std::vector<PhaseRecord>& aRecords)
 {
   TargetStateMessage message;
   for (const PhaseRecord& record : aRecords) {
@@ -88,7 +89,7 @@
   return message;
 }
 
-void PhaseDesk::OnReady(LinkId aLink)
+void PhaseManager::OnReady(LinkId aLink)
 {
   std::vector<PhaseRecord> records = phases_.All();
   // Cold in epoch zero is what everybody assumes anyway.
@@ -108,7 +109,7 @@
   }
 }
 
-void PhaseDesk::Tell(const std::vector<PhaseRecord>& aRecords)
+void PhaseManager::Tell(const std::vector<PhaseRecord>& aRecords)
 {
   if (aRecords.empty()) {
     return;
@@ -118,7 +119,7 @@
   links_.Send(links_.Controls(), message);
 }
 
-void PhaseDesk::OnReport(const TargetReportMessage& aReport)
+void PhaseManager::OnReport(const TargetReportMessage& aReport)
 {
   std::vector<PhaseRecord> changed;
   for (const TargetReportEntry& entry : aReport.targets) {
@@ -140,7 +141,7 @@
   Tell(changed);
 }
 
-void PhaseDesk::OnGoodAnswer(const TargetReportEntry& aEntry)
+void PhaseManager::OnGoodAnswer(const TargetReportEntry& aEntry)
 {
   phases_.OnGoodAnswer(aEntry.target, aEntry.instance);
   if (known_.count(aEntry.target) > 0 &&
@@ -149,9 +150,9 @@
   }
 }
 
-void PhaseDesk::OnState(LinkId aFrom,
-                        const TargetStateMessage& aMessage,
-                        bool aForward)
+void PhaseManager::OnState(LinkId aFrom,
+                           const TargetStateMessage& aMessage,
+                           bool aForward)
 {
   TargetStateMessage changed;
   for (const TargetStateEntry& entry : aMessage.targets) {
@@ -175,7 +176,7 @@
   }
 }
 
-void PhaseDesk::OnTimer()
+void PhaseManager::OnTimer()
 {
   std::vector<PhaseRecord> changed;
   for (const TargetId& target : moving_) {
--- a/src/control/PhaseDesk.h
+++ b/src/control/PhaseManager.h
@@ -1,5 +1,5 @@
-#ifndef CONTROL_PHASEDESK_H
-#define CONTROL_PHASEDESK_H
+#ifndef CONTROL_PHASEMANAGER_H
+#define CONTROL_PHASEMANAGER_H
 
 #include "control/PeerLinks.h"
 #include "control/TargetIndex.h"
@@ -18,15 +18,15 @@
  * Keeps the phases of all targets and sends each change to peers and entryd
  * at once. Advances the targets of the shards whose lease is held here.
  */
-class PhaseDesk
+class PhaseManager
 {
 public:
   using LeaseCheck = std::function<bool(ShardId)>;
 
-  PhaseDesk(const Clock& aClock,
-            const TargetIndex& aIndex,
-            PeerLinks& aLinks,
-            LeaseCheck aHolds);
+  PhaseManager(const Clock& aClock,
+               const TargetIndex& aIndex,
+               PeerLinks& aLinks,
+               LeaseCheck aHolds);
 
   /** The index changed. */
   void OnConfig();
@@ -68,4 +68,4 @@
 
 } // namespace lacewing
 
-#endif // CONTROL_PHASEDESK_H
+#endif // CONTROL_PHASEMANAGER_H
--- a/src/entry/EntryControl.h
+++ b/src/entry/EntryControl.h
@@ -6,7 +6,7 @@
 #include "entry/ControldLink.h"
 #include "entry/EntrySettings.h"
 #include "entry/EntryState.h"
-#include "entry/GrantBook.h"
+#include "entry/HeldGrants.h"
 #include "entry/KnownPhases.h"
 #include "entry/ReportCollector.h"
 #include "entry/SnapshotBuilder.h"
@@ -77,7 +77,7 @@
   KnownPhases phases_;
   ConfigReceiver configs_;
   ReportCollector reports_;
-  GrantBook grants_;
+  HeldGrants grants_;
   EntryState state_;
   asio::steady_timer tick_;
   /** Ticks until the configuration is asked for again; zero for never. */
--- a/src/entry/GrantBook.cpp
+++ b/src/entry/HeldGrants.cpp
@@ -1,4 +1,4 @@
-#include "entry/GrantBook.h"
+#include "entry/HeldGrants.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,10 +41,10 @@
 
 } // namespace
 
-GrantBook::GrantBook(const Clock& aClock,
-                     HostId aHost,
-                     Incarnation aIncarnation,
-                     std::size_t aWorkers)
+HeldGrants::HeldGrants(const Clock& aClock,
+                       HostId aHost,
+                       Incarnation aIncarnation,
+                       std::size_t aWorkers)
   : clock_(aClock)
   , host_(std::move(aHost))
   , incarnation_(aIncarnation)
@@ -54,7 +54,7 @@
 {
 }
 
-void GrantBook::OnReport(const WorkerReport& aReport)
+void HeldGrants::OnReport(const WorkerReport& aReport)
 {
   const std::size_t worker = aReport.worker.value();
   auto& inFlight = inFlight_.at(worker);
@@ -89,7 +89,7 @@
   }
 }
 
-void GrantBook::OnGrant(const GrantEntry& aGrant)
+void HeldGrants::OnGrant(const GrantEntry& aGrant)
 {
   const TimePoint sent(aGrant.sent);
   if (aGrant.host != host_ || aGrant.incarnation != incarnation_ ||
@@ -117,7 +117,7 @@
   }
 }
 
-void GrantBook::Keep(const std::set<TargetId>& aTargets)
+void HeldGrants::Keep(const std::set<TargetId>& aTargets)
 {
   for (auto entry = grants_.begin(); entry != grants_.end();) {
     if (aTargets.count(entry->first) == 0) {
@@ -129,14 +129,14 @@
   }
 }
 
-void GrantBook::Balance()
+void HeldGrants::Balance()
 {
   for (auto& [target, grant] : grants_) {
     Balance(grant);
   }
 }
 
-void GrantBook::Balance(TargetGrant& aGrant)
+void HeldGrants::Balance(TargetGrant& aGrant)
 {
   const std::vector<SlotCount> desired = DesiredSplit(aGrant);
   for (std::size_t worker = 0; worker < desired.size(); ++worker) {
@@ -156,9 +156,9 @@
   }
 }
 
-void GrantBook::Assign(TargetGrant& aGrant,
-                       std::size_t aWorker,
-                       SlotCount aSlots)
+void HeldGrants::Assign(TargetGrant& aGrant,
+                        std::size_t aWorker,
+                        SlotCount aSlots)
 {
   GrantShare& share = aGrant.shares[aWorker];
   share.assigned = aSlots;
@@ -168,7 +168,7 @@
   changed_[aWorker] = true;
 }
 
-std::vector<SlotCount> GrantBook::DesiredSplit(const TargetGrant& aGrant) const
+std::vector<SlotCount> HeldGrants::DesiredSplit(const TargetGrant& aGrant) const
 {
   const std::size_t workers = aGrant.shares.size();
   std::vector<SlotCount> desired(workers);
@@ -197,14 +197,14 @@
   return desired;
 }
 
-bool GrantBook::Ends(const TargetGrant& aGrant) const
+bool HeldGrants::Ends(const TargetGrant& aGrant) const
 {
   const TimePoint now = clock_.Now();
   return aGrant.id == GrantId() || now >= aGrant.expiry ||
          now - aGrant.lastUse > kIdleTime;
 }
 
-std::optional<std::vector<HeldGrant>> GrantBook::TakeListFor(WorkerId aWorker)
+std::optional<std::vector<HeldGrant>> HeldGrants::TakeListFor(WorkerId aWorker)
 {
   const std::size_t worker = aWorker.value();
   if (!changed_.at(worker)) {
@@ -222,12 +222,12 @@
   return list;
 }
 
-GrantRound GrantBook::RoundOf(WorkerId aWorker) const
+GrantRound HeldGrants::RoundOf(WorkerId aWorker) const
 {
   return rounds_.at(aWorker.value());
 }
 
-std::vector<GrantWantEntry> GrantBook::TakeWants(const KnownPhases& aPhases)
+std::vector<GrantWantEntry> HeldGrants::TakeWants(const KnownPhases& aPhases)
 {
   std::vector<GrantWantEntry> wants;
   const TimePoint now = clock_.Now();
@@ -256,7 +256,7 @@
   return wants;
 }
 
-std::vector<GrantReturnEntry> GrantBook::TakeReturns()
+std::vector<GrantReturnEntry> HeldGrants::TakeReturns()
 {
   std::vector<GrantReturnEntry> returns;
   for (auto entry = grants_.begin(); entry != grants_.end();) {
@@ -283,7 +283,7 @@
   return returns;
 }
 
-std::map<TargetId, SlotCount> GrantBook::HeldSlots() const
+std::map<TargetId, SlotCount> HeldGrants::HeldSlots() const
 {
   std::map<TargetId, SlotCount> held;
   for (const auto& [target, grant] : grants_) {
@@ -294,7 +294,7 @@
   return held;
 }
 
-TargetGrant& GrantBook::GrantOf(const TargetId& aTarget)
+TargetGrant& HeldGrants::GrantOf(const TargetId& aTarget)
 {
   TargetGrant& grant = grants_[aTarget];
   if (grant.shares.empty()) {
--- a/src/entry/GrantBook.h
+++ b/src/entry/HeldGrants.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_GRANTBOOK_H
-#define ENTRY_GRANTBOOK_H
+#ifndef ENTRY_HELDGRANTS_H
+#define ENTRY_HELDGRANTS_H
 
 #include "decision/ClockMargin.h"
 #include "decision/HeldGrant.h"
@@ -25,13 +25,13 @@
  * moves to another worker only after the first has confirmed to be without
  * it. Has no sockets; used from the control thread.
  */
-class GrantBook
+class HeldGrants
 {
 public:
-  GrantBook(const Clock& aClock,
-            HostId aHost,
-            Incarnation aIncarnation,
-            std::size_t aWorkers);
+  HeldGrants(const Clock& aClock,
+             HostId aHost,
+             Incarnation aIncarnation,
+             std::size_t aWorkers);
 
   void OnReport(const WorkerReport& aReport);
   /** Ignores grants of other askers and those older than the one held. */
@@ -77,4 +77,4 @@
 
 } // namespace lacewing
 
-#endif // ENTRY_GRANTBOOK_H
+#endif // ENTRY_HELDGRANTS_H
--- a/tests/ControlConfigTest.cpp
+++ b/tests/ControlConfigTest.cpp
@@ -17,14 +17,15 @@
   {
     ControlTerms terms;
     terms.slowPollTime = std::chrono::milliseconds(100);
-    follower = std::make_unique<ConfigFollower>(context, store, book, terms, 1);
+    follower =
+      std::make_unique<ConfigFollower>(context, store, configs, terms, 1);
     follower->SetWatching(aWatching);
   }
 
   bool Reaches(std::uint64_t aVersion)
   {
-    return RunUntil(context,
-                    [&] { return book.Version() == ConfigVersion(aVersion); });
+    return RunUntil(
+      context, [&] { return configs.Version() == ConfigVersion(aVersion); });
   }
 
   asio::io_context context;
@@ -32,7 +33,7 @@
   HttpObjectStore store{ context,
                          { platform.Where(), std::chrono::milliseconds(500) } };
   int changes = 0;
-  ConfigBook book{ [this] { ++changes; } };
+  ConfigState configs{ [this] { ++changes; } };
   std::unique_ptr<ConfigFollower> follower;
 };
 
@@ -49,7 +50,7 @@
   WriteConfig(platform, MakeConfig(2, 30, "PUT"));
   REQUIRE(Reaches(2));
   CHECK(store.Counts().started[0] == gets + 1);
-  CHECK(book.InForce()->blobs.size() == 32);
+  CHECK(configs.InForce()->blobs.size() == 32);
   platform.SetFaults(R"({"down":true})");
   REQUIRE(
     RunUntil(context, [&] { return follower->Counts().failedReads > 1; }));
@@ -66,17 +67,17 @@
     WriteConfig(platform, MakeConfig(1, 3));
     const EncodedConfig newer = MakeConfig(2, 3, "PUT");
     if (watching) {
-      REQUIRE(book.Offer(newer.head, newer.blobs).has_value());
+      REQUIRE(configs.Offer(newer.head, newer.blobs).has_value());
     }
     Start(watching);
     REQUIRE(
       RunUntil(context, [&] { return follower->Counts().staleHeads > 0; }));
-    CHECK(book.Version() == ConfigVersion(2));
+    CHECK(configs.Version() == ConfigVersion(2));
     const std::uint64_t calls = store.Counts().started[4];
     context.restart();
     context.run_for(std::chrono::milliseconds(500));
     CHECK(store.Counts().started[4] - calls < 20);
-    CHECK(book.Offer(newer.head, newer.blobs).error().kind ==
+    CHECK(configs.Offer(newer.head, newer.blobs).error().kind ==
           ErrorKind::kConflict);
   }
   CHECK(changes == 1);
@@ -94,7 +95,7 @@
     CHECK(RunUntil(context,
                    [&] { return follower->Counts().invalidObjects > seen; }));
     seen = follower->Counts().invalidObjects;
-    CHECK(book.Version() == ConfigVersion(1));
+    CHECK(configs.Version() == ConfigVersion(1));
   };
   platform.Put("config/head", "not CBOR");
   expectRefused();
@@ -117,7 +118,7 @@
 TEST_CASE("a configuration travels in parts to another process")
 {
   EncodedConfig encoded = MakeConfig(7, 1500);
-  ConfigBook sender([] {});
+  ConfigState sender([] {});
   REQUIRE(sender.Offer(encoded.head, encoded.blobs).has_value());
   const auto parts = SplitConfig(*sender.InForce(), {});
   REQUIRE(parts.size() > 1);
@@ -132,7 +133,7 @@
     whole = std::move(added).value();
   }
   REQUIRE(whole);
-  ConfigBook receiver([] {});
+  ConfigState receiver([] {});
   REQUIRE(receiver.Offer(whole->head, whole->blobs).has_value());
   CHECK(receiver.Version() == ConfigVersion(7));
 
--- a/tests/ControlDaemonTest.cpp
+++ b/tests/ControlDaemonTest.cpp
@@ -51,7 +51,7 @@
 bool AllInForce(ControlCluster& aCluster, std::uint64_t aVersion)
 {
   for (const auto& [number, daemon] : aCluster.daemons) {
-    if (daemon->State().book.Version() != ConfigVersion(aVersion)) {
+    if (daemon->State().configs.Version() != ConfigVersion(aVersion)) {
       return false;
     }
   }
--- a/tests/DecisionGrantPropertyTest.cpp
+++ b/tests/DecisionGrantPropertyTest.cpp
@@ -1,7 +1,7 @@
 #include "decision/GrantLedger.h"
 #include "decision/PhaseTable.h"
 #include "decision/RequestEngine.h"
-#include "entry/GrantBook.h"
+#include "entry/HeldGrants.h"
 #include "support/CheckProperty.h"
 #include "support/EventWorld.h"
 #include "support/SkewedClock.h"
@@ -84,7 +84,7 @@
   struct Host
   {
     std::unique_ptr<SkewedClock> clock;
-    std::unique_ptr<GrantBook> book;
+    std::unique_ptr<HeldGrants> configs;
     std::vector<Worker> workers;
     TimePoint pausedUntil;
     std::uint64_t requests = 0;
@@ -157,10 +157,10 @@
     Host& host = *hosts_.back();
     host.clock = Clock();
     host.workers.resize(1 + Pick(1));
-    host.book = std::make_unique<GrantBook>(*host.clock,
-                                            HostId(std::to_string(aIndex)),
-                                            Incarnation(1),
-                                            host.workers.size());
+    host.configs = std::make_unique<HeldGrants>(*host.clock,
+                                                HostId(std::to_string(aIndex)),
+                                                Incarnation(1),
+                                                host.workers.size());
     ServiceRoute route;
     route.id = ServiceId("s");
     route.slots = SlotCount(6);
@@ -209,7 +209,7 @@
         report.grantRound = worker.round;
         report.observations = worker.engine->TakeObservations();
         AtHost(aHost, kPost, [this, &aHost, report] {
-          aHost.book->OnReport(report);
+          aHost.configs->OnReport(report);
           Balance(aHost);
         });
       }
@@ -225,8 +225,8 @@
 
   void AskAndReturn(Host& aHost)
   {
-    const auto wants = aHost.book->TakeWants(KnownPhases());
-    const auto returns = aHost.book->TakeReturns();
+    const auto wants = aHost.configs->TakeWants(KnownPhases());
+    const auto returns = aHost.configs->TakeReturns();
     for (auto& ledger : ledgers_) {
       GrantLedger* const to = ledger->ledger.get();
       for (const GrantWantEntry& want : wants) {
@@ -262,19 +262,19 @@
                      ? aHost.clock->Now().time_since_epoch()
                      : aGrant.wantSent.time_since_epoch();
       entry.time = aGrant.time;
-      aHost.book->OnGrant(entry);
+      aHost.configs->OnGrant(entry);
       Balance(aHost);
     });
   }
 
   void Balance(Host& aHost)
   {
-    aHost.book->Balance();
+    aHost.configs->Balance();
     for (std::size_t i = 0; i < aHost.workers.size(); ++i) {
       const WorkerId id(static_cast<std::uint32_t>(i));
-      const auto list = aHost.book->TakeListFor(id);
+      const auto list = aHost.configs->TakeListFor(id);
       if (list) {
-        const GrantRound round = aHost.book->RoundOf(id);
+        const GrantRound round = aHost.configs->RoundOf(id);
         AtHost(aHost, kPost, [this, &aHost, i, list, round] {
           Worker& worker = aHost.workers[i];
           worker.round = round;
--- a/tests/EntryGrantBookTest.cpp
+++ b/tests/EntryHeldGrantsTest.cpp
@@ -1,5 +1,5 @@
 #include "core/ManualClock.h"
-#include "entry/GrantBook.h"
+#include "entry/HeldGrants.h"
 
 #include <doctest/doctest.h>
 
@@ -53,7 +53,7 @@
 {
   ManualClock clock;
   constexpr std::size_t kWorkers = 3;
-  GrantBook book(clock, HostId("h"), Incarnation(1), kWorkers);
+  HeldGrants configs(clock, HostId("h"), Incarnation(1), kWorkers);
   std::vector<FakeWorker> workers(kWorkers);
   std::mt19937 random(7);
   const auto chance = [&](unsigned aOutOf) { return random() % aOutOf == 0; };
@@ -65,7 +65,7 @@
   for (int step = 0; step < 20000; ++step) {
     clock.Advance(std::chrono::milliseconds(5));
     if (step % 60 == 0) {
-      book.OnGrant(MakeGrant(clock, ++id, slots));
+      configs.OnGrant(MakeGrant(clock, ++id, slots));
     }
     for (std::size_t i = 0; i < kWorkers; ++i) {
       FakeWorker& worker = workers[i];
@@ -80,14 +80,14 @@
         ++served[i];
       }
       if (chance(20)) {
-        book.OnReport(worker.Report(number));
+        configs.OnReport(worker.Report(number));
       }
-      book.Balance();
+      configs.Balance();
       // A list in transit: the worker takes some of them over late.
       if (chance(3)) {
-        if (auto list = book.TakeListFor(number)) {
+        if (auto list = configs.TakeListFor(number)) {
           worker.assigned = list->empty() ? SlotCount(0) : list->at(0).slots;
-          worker.round = book.RoundOf(number);
+          worker.round = configs.RoundOf(number);
         }
       }
     }
@@ -107,11 +107,11 @@
 TEST_CASE("a grant's time counts from the sending of the want")
 {
   ManualClock clock;
-  GrantBook book(clock, HostId("h"), Incarnation(1), 1);
+  HeldGrants configs(clock, HostId("h"), Incarnation(1), 1);
   FakeWorker worker;
   worker.waiting = 1;
-  book.OnReport(worker.Report(WorkerId(0)));
-  const auto wants = book.TakeWants(KnownPhases());
+  configs.OnReport(worker.Report(WorkerId(0)));
+  const auto wants = configs.TakeWants(KnownPhases());
   REQUIRE(wants.size() == 1);
   CHECK((wants[0].sent == clock.Now().time_since_epoch()));
   GrantEntry grant = MakeGrant(clock, 9, 1);
@@ -119,15 +119,15 @@
   clock.Advance(std::chrono::milliseconds(200));
   GrantEntry foreign = grant;
   foreign.incarnation = Incarnation(2);
-  book.OnGrant(foreign);
-  book.Balance();
-  CHECK_FALSE(book.TakeListFor(WorkerId(0)));
-  book.OnGrant(grant);
+  configs.OnGrant(foreign);
+  configs.Balance();
+  CHECK_FALSE(configs.TakeListFor(WorkerId(0)));
+  configs.OnGrant(grant);
   grant.id = GrantId(8);
   grant.slots = SlotCount(5);
-  book.OnGrant(grant);
-  book.Balance();
-  const auto list = book.TakeListFor(WorkerId(0));
+  configs.OnGrant(grant);
+  configs.Balance();
+  const auto list = configs.TakeListFor(WorkerId(0));
   REQUIRE(list);
   REQUIRE(list->size() == 1);
   CHECK(list->at(0).slots == SlotCount(1));
@@ -140,29 +140,29 @@
 TEST_CASE("an unused grant goes back once no worker can use it")
 {
   ManualClock clock;
-  GrantBook book(clock, HostId("h"), Incarnation(1), 1);
+  HeldGrants configs(clock, HostId("h"), Incarnation(1), 1);
   FakeWorker worker;
   worker.waiting = 1;
-  book.OnReport(worker.Report(WorkerId(0)));
-  book.OnGrant(MakeGrant(clock, 4, 1));
-  book.Balance();
-  REQUIRE(book.TakeListFor(WorkerId(0)));
-  worker.round = book.RoundOf(WorkerId(0));
+  configs.OnReport(worker.Report(WorkerId(0)));
+  configs.OnGrant(MakeGrant(clock, 4, 1));
+  configs.Balance();
+  REQUIRE(configs.TakeListFor(WorkerId(0)));
+  worker.round = configs.RoundOf(WorkerId(0));
   worker.waiting = 0;
   worker.inFlight = 1;
-  book.OnReport(worker.Report(WorkerId(0)));
+  configs.OnReport(worker.Report(WorkerId(0)));
   clock.Advance(std::chrono::seconds(2));
-  book.Balance();
-  CHECK(book.TakeReturns().empty());
+  configs.Balance();
+  CHECK(configs.TakeReturns().empty());
   worker.inFlight = 0;
-  book.OnReport(worker.Report(WorkerId(0)));
+  configs.OnReport(worker.Report(WorkerId(0)));
   // The worker has not confirmed yet that it is without the slot.
-  CHECK(book.TakeReturns().empty());
-  REQUIRE(book.TakeListFor(WorkerId(0)));
-  worker.round = book.RoundOf(WorkerId(0));
-  book.OnReport(worker.Report(WorkerId(0)));
-  const auto returns = book.TakeReturns();
+  CHECK(configs.TakeReturns().empty());
+  REQUIRE(configs.TakeListFor(WorkerId(0)));
+  worker.round = configs.RoundOf(WorkerId(0));
+  configs.OnReport(worker.Report(WorkerId(0)));
+  const auto returns = configs.TakeReturns();
   REQUIRE(returns.size() == 1);
   CHECK(returns[0].lastGrant == GrantId(4));
-  CHECK(book.empty());
+  CHECK(configs.empty());
 }
