--- a/src/control/ControlDaemon.cpp
+++ b/src/control/ControlDaemon.cpp
@@ -312,7 +312,7 @@
   bool ShouldWatch() const
   {
     const auto heard = state_->members.LastHeardPeer();
-    return !heard || *heard + terms_.lonelyTime < clock_.Now() ||
+    return !heard || *heard + terms_.isolatedTime < clock_.Now() ||
            IsAmongFirst(state_->settings.host,
                         state_->members.UsableInZone(state_->settings.zone),
                         terms_.watchersPerZone,
--- a/src/control/ControlTerms.h
+++ b/src/control/ControlTerms.h
@@ -24,7 +24,7 @@
   /** Controlds of each availability zone that watch the store. */
   unsigned watchersPerZone = 2;
   /** Silence of all peers after which a controld watches by itself. */
-  Duration lonelyTime = std::chrono::seconds(2);
+  Duration isolatedTime = std::chrono::seconds(2);
   /** Longest wait of one watch of the head. */
   std::chrono::milliseconds watchWait{ 20000 };
   /** Period in which a controld that does not watch reads the head. */
