Answer requests that cannot be parsed with 400 as not run

Cause: RESTinio closes the connection without an answer, so a caller could not tell a refused request from a lost one. Change: the server's socket sends the refusal when RESTinio shuts it down while parsing what was just read.

--- a/src/entry/TrafficWorker.cpp
+++ b/src/entry/TrafficWorker.cpp
@@ -31,6 +31,7 @@
   options.maxBody = aOptions.forwarder.limits.maxBody + kBodyReserve;
   options.readBudget = std::move(aBudget);
   options.refusal = WriteRefusal(RefusalReason::kBuffersFull);
+  options.malformed = WriteRefusal(RefusalReason::kBadRequest);
   return options;
 }
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -27,10 +27,12 @@
   /** aBudget may be null. */
   ConnectionListener(asio::io_context& aContext,
                      std::shared_ptr<ReadBudget> aBudget,
-                     std::string aRefusal)
+                     std::string aRefusal,
+                     std::string aMalformed)
     : context_(aContext)
     , budget_(std::move(aBudget))
     , refusal_(std::move(aRefusal))
+    , malformed_(std::move(aMalformed))
   {
   }
 
@@ -93,6 +95,7 @@
   asio::io_context& context_;
   std::shared_ptr<ReadBudget> budget_;
   std::string refusal_;
+  std::string malformed_;
   std::unordered_map<restinio::connection_id_t, std::weak_ptr<ReadMeter>>
     meters_;
 };
@@ -286,7 +289,7 @@
     open_.insert(aNotice.connection_id());
     ++accepted_;
     if (budget_) {
-      auto meter = std::make_shared<ReadMeter>(budget_, refusal_);
+      auto meter = std::make_shared<ReadMeter>(budget_, refusal_, malformed_);
       meters_.emplace(aNotice.connection_id(), meter);
       asio::use_service<AcceptedMeter>(context_).meter = std::move(meter);
     }
@@ -413,8 +416,11 @@
   const HttpServerOptions& aOptions,
   HttpHandler aHandler)
 {
-  auto listener = std::make_shared<ConnectionListener>(
-    aContext, aOptions.readBudget, WireFormat(aOptions.refusal));
+  auto listener =
+    std::make_shared<ConnectionListener>(aContext,
+                                         aOptions.readBudget,
+                                         WireFormat(aOptions.refusal),
+                                         WireFormat(aOptions.malformed));
   auto port = std::make_shared<std::uint16_t>(0);
   Impl::Settings settings;
   settings.address(aOptions.endpoint.address)
--- a/src/net/HttpServerOptions.h
+++ b/src/net/HttpServerOptions.h
@@ -33,6 +33,8 @@
    */
   std::shared_ptr<ReadBudget> readBudget;
   HttpResponse refusal;
+  /** Sent with a readBudget when a request cannot be parsed. */
+  HttpResponse malformed;
   /** Lets several servers of one process share the port. */
   bool reusePort = false;
 };
--- a/src/net/MeteredSocketPriv.h
+++ b/src/net/MeteredSocketPriv.h
@@ -68,7 +68,9 @@
         [this, meter = meter_, aBuffers, handler = std::move(aHandler)](
           const asio::error_code& aError, std::size_t aLength) mutable {
           if (aError || meter->OnRead(ByteCount(aLength))) {
+            parsing_ = !aError;
             handler(aError, aLength);
+            parsing_ = false;
             return;
           }
           asio::error_code ignored;
@@ -78,6 +80,21 @@
         }));
   }
 
+  /**
+   * RESTinio closes a connection without an answer when it cannot parse a
+   * request or the request exceeds a limit; the answer is sent here.
+   */
+  // The name is fixed by Asio.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void shutdown(shutdown_type aWhat, asio::error_code& aError)
+  {
+    if (std::exchange(parsing_, false)) {
+      asio::error_code ignored;
+      asio::write(*this, asio::buffer(meter_->Malformed()), ignored);
+    }
+    asio::ip::tcp::socket::shutdown(aWhat, aError);
+  }
+
 private:
   /**
    * Reads on without keeping anything: closing with unread bytes would reset
@@ -106,6 +123,8 @@
 
   asio::io_context* context_;
   std::shared_ptr<ReadMeter> meter_;
+  /** RESTinio parses what was just read. */
+  bool parsing_ = false;
 };
 
 } // namespace lacewing
--- a/src/net/ReadMeter.cpp
+++ b/src/net/ReadMeter.cpp
@@ -13,9 +13,11 @@
 } // namespace
 
 ReadMeter::ReadMeter(std::shared_ptr<ReadBudget> aBudget,
-                     const std::string& aRefusal)
+                     const std::string& aRefusal,
+                     const std::string& aMalformed)
   : budget_(std::move(aBudget))
   , refusal_(aRefusal)
+  , malformed_(aMalformed)
 {
 }
 
@@ -50,4 +52,9 @@
   return unanswered_ == 0 ? refusal_ : std::string();
 }
 
+std::string ReadMeter::Malformed() const
+{
+  return unanswered_ == 0 && InRequest() ? malformed_ : std::string();
+}
+
 } // namespace lacewing
--- a/src/net/ReadMeterPriv.h
+++ b/src/net/ReadMeterPriv.h
@@ -14,9 +14,11 @@
 public:
   /**
    * aRefusal is sent as it stands to a caller whose request does not fit in
-   * the budget.
+   * the budget, aMalformed to one whose request cannot be parsed.
    */
-  ReadMeter(std::shared_ptr<ReadBudget> aBudget, const std::string& aRefusal);
+  ReadMeter(std::shared_ptr<ReadBudget> aBudget,
+            const std::string& aRefusal,
+            const std::string& aMalformed);
   ~ReadMeter();
   ReadMeter(const ReadMeter&) = delete;
   ReadMeter& operator=(const ReadMeter&) = delete;
@@ -31,12 +33,14 @@
 
   /** The bytes to send before closing; empty while answers are under way. */
   std::string Refusal() const;
+  std::string Malformed() const;
 
   bool InRequest() const { return read_ > ByteCount(0); }
 
 private:
   std::shared_ptr<ReadBudget> budget_;
   const std::string& refusal_;
+  const std::string& malformed_;
   ByteCount read_;
   ByteCount charged_;
   unsigned unanswered_ = 0;
--- a/tests/EntryInputTest.cpp
+++ b/tests/EntryInputTest.cpp
@@ -108,6 +108,29 @@
   CHECK(caller.Get(entry.Callers(), "/s/x").response.body == "ok");
 }
 
+// Guards against a caller that learns nothing from a closed connection and
+// takes its request for lost.
+TEST_CASE("a request that cannot be parsed is answered 400 as not run")
+{
+  TestTarget target(&AnswerOk);
+  TestEntry entry(StaticSettings({ target.Address() }));
+  for (const std::string& broken :
+       { std::string("\0\1\2\3\r\n\r\n", 8),
+         std::string("POST /s/x HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+         std::string("POST /s/x HTTP/1.1\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+         "GET /s/x HTTP/1.1\r\n" + std::string(9000, 'n') + ": v\r\n\r\n" }) {
+    RawCaller caller(entry.Callers());
+    caller.Send(broken);
+    const std::string answer = caller.ReadAll();
+    CAPTURE(answer);
+    CHECK(answer.find("HTTP/1.1 400 ") == 0);
+    CHECK(answer.find("Lacewing-Outcome: not-run") != std::string::npos);
+    CHECK(answer.find("Lacewing-Reason: bad-request") != std::string::npos);
+  }
+  CHECK(target.Runs() == 0);
+}
+
 // Guards against memory that callers can take without bound by bodies that
 // arrive slowly or never end.
 TEST_CASE("bodies that are not whole stay within the memory limit")
