--- /dev/null
+++ b/src/balance/Candidate.h
@@ -0,0 +1,23 @@
+#ifndef BALANCE_CANDIDATE_H
+#define BALANCE_CANDIDATE_H
+
+#include "balance/FleetTarget.h"
+#include "balance/LoadReading.h"
+#include "balance/LocalView.h"
+
+namespace lacewing {
+
+/** A target that a request may go to, with all that is known of it. */
+struct Candidate
+{
+  const FleetTarget* target = nullptr;
+  /** The owner's reading; null when there is none. */
+  const LoadReading* reading = nullptr;
+  const LocalView* local = nullptr;
+  /** A connection is open and free. */
+  bool connected = false;
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_CANDIDATE_H
--- /dev/null
+++ b/src/balance/ChoiceContext.h
@@ -0,0 +1,21 @@
+#ifndef BALANCE_CHOICECONTEXT_H
+#define BALANCE_CHOICECONTEXT_H
+
+#include "lacewing/ByteCount.h"
+#include "lacewing/Clock.h"
+
+namespace lacewing {
+
+/** The request for which a target is chosen. */
+struct ChoiceContext
+{
+  TimePoint now;
+  /** How long the work usually takes on an idle target. */
+  Duration usualWork = std::chrono::milliseconds(200);
+  /** Bytes of the request and the expected answer. */
+  ByteCount bytes;
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_CHOICECONTEXT_H
--- /dev/null
+++ b/src/balance/ColdTerms.h
@@ -0,0 +1,17 @@
+#ifndef BALANCE_COLDTERMS_H
+#define BALANCE_COLDTERMS_H
+
+namespace lacewing {
+
+/** What all hosts together may send to a cold target in any second. */
+struct ColdTerms
+{
+  /** Times the target's warm-up rate. */
+  double overshoot = 1;
+  /** Requests on top of it. */
+  double slack = 0;
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_COLDTERMS_H
--- /dev/null
+++ b/src/balance/LocalView.cpp
@@ -0,0 +1,90 @@
+#include "balance/LocalView.h"
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace {
+
+// Failures of the last seconds count: a target that fails part of its requests
+// loses traffic after one or two, and gets it back some seconds after it heals.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
+constexpr double kMostCounted = 50;
+// Sendings are remembered for one second, the span of the cold-start bound.
+constexpr Duration kSentMemory = std::chrono::milliseconds(1100);
+
+} // namespace
+
+LocalView::LocalView()
+  : failures_(kFailureHalfLife)
+  , successes_(kFailureHalfLife)
+{
+}
+
+void LocalView::OnSent(TimePoint aNow)
+{
+  ++inFlight_;
+  while (!sent_.empty() && sent_.front() + kSentMemory < aNow) {
+    sent_.pop_front();
+  }
+  sent_.push_back(aNow);
+}
+
+void LocalView::OnEnded()
+{
+  --inFlight_;
+}
+
+void LocalView::OnLoad(TimePoint aNow, const TargetLoad& aLoad)
+{
+  LoadReading reading;
+  reading.state = ReadingState::kServing;
+  reading.load = aLoad;
+  reading.measuredAt = aNow;
+  own_ = reading;
+}
+
+void LocalView::OnTrouble(TimePoint aNow)
+{
+  troubleAt_ = aNow;
+}
+
+void LocalView::OnFailure(TimePoint aNow, double aWeight)
+{
+  failures_.Add(aNow, aWeight, kMostCounted);
+}
+
+void LocalView::OnSuccess(TimePoint aNow)
+{
+  successes_.Add(aNow, 1, kMostCounted);
+}
+
+double LocalView::FailureShare(TimePoint aNow) const
+{
+  const double failures = failures_.At(aNow);
+  // One success is assumed, so that a single old failure fades away.
+  return failures / (failures + successes_.At(aNow) + 1);
+}
+
+std::optional<LoadReading> LocalView::Newest(const LoadReading* aShared) const
+{
+  if (aShared == nullptr) {
+    return own_;
+  }
+  LoadReading reading = *aShared;
+  if (own_ && own_->measuredAt > reading.measuredAt) {
+    reading.load = own_->load;
+    reading.measuredAt = own_->measuredAt;
+  }
+  return reading;
+}
+
+unsigned LocalView::SentSince(TimePoint aTime) const
+{
+  return static_cast<unsigned>(
+    std::count_if(sent_.begin(), sent_.end(), [aTime](TimePoint aSent) {
+      return aSent > aTime;
+    }));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/balance/LocalView.h
@@ -0,0 +1,56 @@
+#ifndef BALANCE_LOCALVIEW_H
+#define BALANCE_LOCALVIEW_H
+
+#include "balance/LoadReading.h"
+#include "decision/DecayingValue.h"
+#include "lacewing/Clock.h"
+
+#include <deque>
+#include <optional>
+
+namespace lacewing {
+
+/** What the traffic thread itself has seen of a target. */
+class LocalView
+{
+public:
+  LocalView();
+
+  void OnSent(TimePoint aNow);
+  void OnEnded();
+
+  /** An answer told the load. */
+  void OnLoad(TimePoint aNow, const TargetLoad& aLoad);
+
+  /** A connection failed; the target may have started anew, cold. */
+  void OnTrouble(TimePoint aNow);
+
+  /** A request failed there; aWeight 1 for a whole failure. */
+  void OnFailure(TimePoint aNow, double aWeight);
+  void OnSuccess(TimePoint aNow);
+
+  unsigned InFlight() const { return inFlight_; }
+  TimePoint TroubleAt() const { return troubleAt_; }
+
+  /** Recent failures as a share of a decaying count, 0 to 1. */
+  double FailureShare(TimePoint aNow) const;
+
+  /** The newer of aShared and the load of the last answer. */
+  std::optional<LoadReading> Newest(const LoadReading* aShared) const;
+
+  /** Requests sent after aTime, for readings that cannot show them. */
+  unsigned SentSince(TimePoint aTime) const;
+
+private:
+  unsigned inFlight_ = 0;
+  TimePoint troubleAt_;
+  DecayingValue failures_;
+  DecayingValue successes_;
+  std::optional<LoadReading> own_;
+  /** Times of recent sendings, the newest last. */
+  std::deque<TimePoint> sent_;
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_LOCALVIEW_H
--- /dev/null
+++ b/src/balance/RepeatTerms.h
@@ -0,0 +1,20 @@
+#ifndef BALANCE_REPEATTERMS_H
+#define BALANCE_REPEATTERMS_H
+
+#include "lacewing/Clock.h"
+
+namespace lacewing {
+
+/** What all hosts together may send beyond the first of each request. */
+struct RepeatTerms
+{
+  /** Share of a service's requests in a window. */
+  double ratio = 0;
+  Duration window = std::chrono::seconds(10);
+  /** Requests on top of it, for each service and window. */
+  double slack = 0;
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_REPEATTERMS_H
--- /dev/null
+++ b/src/balance/RepeatWindow.h
@@ -0,0 +1,45 @@
+#ifndef BALANCE_REPEATWINDOW_H
+#define BALANCE_REPEATWINDOW_H
+
+#include "balance/RepeatTerms.h"
+#include "lacewing/Clock.h"
+
+#include <deque>
+
+namespace lacewing {
+
+/**
+ * Bounds this host's repeats to a service in any window to the terms' share of
+ * its own requests plus its part of the slack, so that the sum over all hosts
+ * keeps the terms without messages.
+ */
+class RepeatWindow
+{
+public:
+  explicit RepeatWindow(const RepeatTerms& aTerms)
+    : terms_(aTerms)
+  {
+  }
+
+  void CountRequest(TimePoint aNow);
+
+  /** Takes one repeat; false when the window has no room. */
+  bool Take(TimePoint aNow, unsigned aHosts);
+
+private:
+  struct Bucket
+  {
+    TimePoint start;
+    double requests = 0;
+    double repeats = 0;
+  };
+
+  Bucket& BucketAt(TimePoint aNow);
+
+  RepeatTerms terms_;
+  std::deque<Bucket> buckets_;
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_REPEATWINDOW_H
--- /dev/null
+++ b/src/catalog/CatalogDecoder.h
@@ -0,0 +1,28 @@
+#ifndef CATALOG_CATALOGDECODER_H
+#define CATALOG_CATALOGDECODER_H
+
+#include "catalog/RouteTable.h"
+#include "catalog/TargetSpec.h"
+#include "lacewing/Outcome.h"
+
+#include <memory>
+#include <string>
+
+namespace lacewing {
+
+/** Reads the bodies of catalog items; errors are kInvalidMessage. */
+class CatalogDecoder
+{
+public:
+  virtual ~CatalogDecoder() = default;
+
+  virtual Outcome<std::shared_ptr<const RouteTable>> DecodeConfiguration(
+    const std::string& aBody) const = 0;
+
+  virtual Outcome<TargetSpec> DecodeTarget(const std::string& aName,
+                                           const std::string& aBody) const = 0;
+};
+
+} // namespace lacewing
+
+#endif // CATALOG_CATALOGDECODER_H
--- /dev/null
+++ b/src/catalog/CatalogItem.h
@@ -0,0 +1,32 @@
+#ifndef CATALOG_CATALOGITEM_H
+#define CATALOG_CATALOGITEM_H
+
+#include "lacewing/Revision.h"
+#include "wire/WireMember.h"
+
+#include <string>
+#include <tuple>
+
+namespace lacewing {
+
+/** One object of the store as it was at a revision. */
+struct CatalogItem
+{
+  std::string name;
+  Revision revision;
+  bool removed = false;
+  /** As the store gave it; hosts bring it to each other unchanged. */
+  std::string body;
+
+  static constexpr auto WireMembers()
+  {
+    return std::make_tuple(WireMember{ "n", &CatalogItem::name },
+                           WireMember{ "r", &CatalogItem::revision },
+                           WireMember{ "x", &CatalogItem::removed },
+                           WireMember{ "b", &CatalogItem::body });
+  }
+};
+
+} // namespace lacewing
+
+#endif // CATALOG_CATALOGITEM_H
--- /dev/null
+++ b/src/catalog/RouteTable.cpp
@@ -0,0 +1,98 @@
+#include "catalog/RouteTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+std::string HostKey(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aChar) {
+    return aChar >= 'A' && aChar <= 'Z' ? aChar + 32 : aChar;
+  });
+  return key;
+}
+
+bool IsPrefix(const std::string& aPrefix)
+{
+  return !aPrefix.empty() && aPrefix.front() == '/' && aPrefix.back() == '/';
+}
+
+Outcome<void> CheckRoute(const RouteSpec& aRoute)
+{
+  if (!IsPrefix(aRoute.pathPrefix)) {
+    return Fail(ErrorKind::kInvalidMessage,
+                "route \"" + aRoute.name.value() + "\" has the prefix \"" +
+                  aRoute.pathPrefix + "\"",
+                "begin and end the prefix with a slash");
+  }
+  double weight = 0;
+  for (const ServiceShare& share : aRoute.shares) {
+    weight += std::max(share.weight, 0.0);
+  }
+  if (weight <= 0) {
+    return Fail(ErrorKind::kInvalidMessage,
+                "route \"" + aRoute.name.value() + "\" leads to no service",
+                "name a service or a split with a positive weight");
+  }
+  return outcome::success();
+}
+
+} // namespace
+
+Outcome<std::shared_ptr<const RouteTable>> RouteTable::Make(
+  ConfigVersion aVersion,
+  std::vector<RouteSpec> aRoutes,
+  const std::vector<ServiceSpec>& aServices,
+  const CallerLimits& aLimits)
+{
+  for (const RouteSpec& route : aRoutes) {
+    BOOST_OUTCOME_TRYV(CheckRoute(route));
+  }
+  std::shared_ptr<RouteTable> table(new RouteTable);
+  table->version_ = aVersion;
+  table->limits_ = aLimits;
+  table->routes_ = std::move(aRoutes);
+  for (const RouteSpec& route : table->routes_) {
+    table->byHost_[HostKey(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : table->byHost_) {
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const RouteSpec* aLeft, const RouteSpec* aRight) {
+                       return aLeft->pathPrefix.size() >
+                              aRight->pathPrefix.size();
+                     });
+  }
+  for (const ServiceSpec& service : aServices) {
+    table->services_[service.id] = service;
+  }
+  return std::shared_ptr<const RouteTable>(std::move(table));
+}
+
+const RouteSpec* RouteTable::Find(std::string_view aHost,
+                                  std::string_view aTarget) const
+{
+  const auto found = byHost_.find(HostKey(aHost));
+  if (found == byHost_.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aTarget.substr(0, aTarget.find('?'));
+  for (const RouteSpec* route : found->second) {
+    if (path.substr(0, route->pathPrefix.size()) == route->pathPrefix) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const ServiceSpec* RouteTable::Service(const ServiceId& aService) const
+{
+  const auto found = services_.find(aService);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+} // namespace lacewing
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -83,11 +83,11 @@
               "write debug, info, warning or error");
 }
 
-void StartLogging(LogLevel aLevel)
+void StartLogging(LogLevel aLevel, LogStream aStream)
 {
   static log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
+    new log4cplus::ConsoleAppender(aStream == LogStream::kStandardError, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
     LOG4CPLUS_TEXT("%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
   RootLogger().removeAllAppenders();
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -18,12 +18,19 @@
   kError,
 };
 
-/**
- * Sends structured lines "time level=... event=... key=value ..." to standard
- * error. aLevel is one of "debug", "info", "warning" and "error".
- */
+/** Where log lines go. */
+enum class LogStream
+{
+  kStandardError,
+  kStandardOutput,
+};
+
+/** aLevel is one of "debug", "info", "warning" and "error". */
 Outcome<LogLevel> ParseLogLevel(const std::string& aLevel);
-void StartLogging(LogLevel aLevel);
+
+/** Sends structured lines "time level=... event=... key=value ...". */
+void StartLogging(LogLevel aLevel,
+                  LogStream aStream = LogStream::kStandardError);
 
 /** Writes one line; values with spaces or quotes are quoted. */
 void Log(LogLevel aLevel,
--- a/src/entry/AnswerWriter.cpp
+++ b/src/entry/AnswerWriter.cpp
@@ -1,7 +1,7 @@
 #include "entry/AnswerWriter.h"
 
-#include "entry/HopFields.h"
 #include "entry/StatusTable.h"
+#include "http/HopFields.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -1,8 +1,8 @@
 #include "entry/RequestForwarder.h"
 
 #include "entry/AnswerWriter.h"
-#include "entry/HopFields.h"
 #include "entry/StatusTable.h"
+#include "http/HopFields.h"
 
 #include <algorithm>
 #include <utility>
--- /dev/null
+++ b/src/fleet/CatalogPuller.cpp
@@ -0,0 +1,144 @@
+#include "fleet/CatalogPuller.h"
+
+#include "core/Log.h"
+#include "fleet/PeerCodec.h"
+#include "http/HttpCaller.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration kPullTimeout = std::chrono::milliseconds(700);
+constexpr ByteCount kMaxPull{ 8U << 20U };
+constexpr const char* kPath = "/catalog";
+
+/** "12,40,7" as revisions by CatalogKind. */
+std::optional<std::vector<Revision>> ReadRevisions(std::string_view aText)
+{
+  std::vector<Revision> revisions;
+  while (!aText.empty()) {
+    std::uint64_t value = 0;
+    const auto [end, error] =
+      std::from_chars(aText.data(), aText.data() + aText.size(), value);
+    if (error != std::errc()) {
+      return std::nullopt;
+    }
+    revisions.emplace_back(value);
+    aText.remove_prefix(static_cast<std::size_t>(end - aText.data()));
+    if (!aText.empty()) {
+      aText.remove_prefix(1);
+    }
+  }
+  if (revisions.size() != kCatalogKinds.size()) {
+    return std::nullopt;
+  }
+  return revisions;
+}
+
+std::string WriteRevisions(const std::vector<Revision>& aRevisions)
+{
+  std::string text;
+  for (const Revision revision : aRevisions) {
+    text += (text.empty() ? "" : ",") + std::to_string(revision.value());
+  }
+  return text;
+}
+
+} // namespace
+
+struct CatalogPuller::Impl
+{
+  asio::io_context& context;
+  const Clock& clock;
+  Handler handler;
+  std::unique_ptr<HttpCaller> caller;
+
+  void OnAnswer(const ExchangeResult& aResult)
+  {
+    if (aResult.end != ExchangeEnd::kAnswered ||
+        aResult.answer.head.status != 200) {
+      Log(LogLevel::kWarning,
+          "catalog-pull",
+          { { "peer", caller->Server().ToString() },
+            { "end", ToString(aResult.end) },
+            { "detail", aResult.detail } });
+      return;
+    }
+    const auto pull = DecodePull(aResult.answer.body);
+    if (!pull || pull.value().parts.size() != kCatalogKinds.size()) {
+      Log(LogLevel::kWarning,
+          "catalog-pull",
+          { { "peer", caller->Server().ToString() },
+            { "error", "the answer cannot be read" } });
+      return;
+    }
+    handler(pull.value());
+  }
+};
+
+CatalogPuller::CatalogPuller(asio::io_context& aContext,
+                             const Clock& aClock,
+                             Handler aHandler)
+  : impl_(new Impl{ aContext, aClock, std::move(aHandler), nullptr })
+{
+}
+
+CatalogPuller::~CatalogPuller() = default;
+
+const char* CatalogPuller::Path()
+{
+  return kPath;
+}
+
+void CatalogPuller::Pull(const Endpoint& aPeer,
+                         const std::vector<Revision>& aKnown)
+{
+  if (impl_->caller && impl_->caller->Busy()) {
+    return;
+  }
+  if (!impl_->caller || impl_->caller->Server() != aPeer) {
+    ConnectionOptions options;
+    options.endpoint = aPeer;
+    options.limits.maxBody = kMaxPull;
+    impl_->caller =
+      std::make_unique<HttpCaller>(impl_->context, options, impl_->clock);
+  }
+  HttpMessage request;
+  request.head.method = "GET";
+  request.head.target = std::string(kPath) + "?after=" + WriteRevisions(aKnown);
+  impl_->caller->Call(
+    std::move(request), kPullTimeout, [this](const ExchangeResult& aResult) {
+      impl_->OnAnswer(aResult);
+    });
+}
+
+HttpMessage CatalogPuller::Answer(const HttpMessage& aRequest,
+                                  const CatalogReplica& aReplica)
+{
+  constexpr std::string_view kQuery = "?after=";
+  HttpMessage answer;
+  const std::string& target = aRequest.head.target;
+  const std::size_t query = target.find(kQuery);
+  const auto known =
+    query == std::string::npos
+      ? std::nullopt
+      : ReadRevisions(std::string_view(target).substr(query + kQuery.size()));
+  if (!known) {
+    answer.head.status = 400;
+    return answer;
+  }
+  CatalogPull pull;
+  for (const CatalogKind kind : kCatalogKinds) {
+    pull.parts.push_back(aReplica.Since(kind, (*known)[IndexOf(kind)]));
+  }
+  answer.head.status = 200;
+  answer.head.fields.Add("Content-Type", "application/cbor");
+  answer.body = EncodePull(pull);
+  return answer;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/fleet/CatalogSource.h
@@ -0,0 +1,50 @@
+#ifndef FLEET_CATALOGSOURCE_H
+#define FLEET_CATALOGSOURCE_H
+
+#include "catalog/CatalogChanges.h"
+#include "catalog/CatalogKind.h"
+#include "fleet/PeerAddress.h"
+#include "lacewing/Clock.h"
+#include "lacewing/Outcome.h"
+
+#include <functional>
+#include <vector>
+
+namespace lacewing {
+
+/**
+ * The platform's store as the control thread uses it. Handlers run on the
+ * control thread, never from within a call.
+ */
+class CatalogSource
+{
+public:
+  struct Events
+  {
+    /** Objects changed, or were listed; also when nothing differs. */
+    std::function<void(CatalogKind, const CatalogChanges&)> onChanges;
+    /** The store answered or failed; told when that differs from before. */
+    std::function<void(bool)> onReachable;
+  };
+  using ListHandler = std::function<void(Outcome<std::vector<PeerAddress>>)>;
+  using DoneHandler = std::function<void(Outcome<void>)>;
+
+  virtual ~CatalogSource() = default;
+
+  virtual void SetEvents(Events aEvents) = 0;
+
+  /**
+   * Starts or stops watching; a start goes on from aKnown (by CatalogKind),
+   * and lists the objects of a kind where that is zero.
+   */
+  virtual void Follow(bool aOn, const std::vector<Revision>& aKnown) = 0;
+
+  /** Writes where this host is found; a repeat changes nothing. */
+  virtual void RegisterHost(const PeerAddress& aSelf, DoneHandler aHandler) = 0;
+
+  virtual void ListHosts(ListHandler aHandler) = 0;
+};
+
+} // namespace lacewing
+
+#endif // FLEET_CATALOGSOURCE_H
--- /dev/null
+++ b/src/fleet/FleetTerms.h
@@ -0,0 +1,18 @@
+#ifndef FLEET_FLEETTERMS_H
+#define FLEET_FLEETTERMS_H
+
+#include "balance/ColdTerms.h"
+#include "gateway/HeaderNames.h"
+
+namespace lacewing {
+
+/** What a deployment fixes for its control threads. */
+struct FleetTerms
+{
+  ColdTerms cold;
+  HeaderNames names;
+};
+
+} // namespace lacewing
+
+#endif // FLEET_FLEETTERMS_H
--- /dev/null
+++ b/src/fleet/HostIdentity.h
@@ -0,0 +1,24 @@
+#ifndef FLEET_HOSTIDENTITY_H
+#define FLEET_HOSTIDENTITY_H
+
+#include "fleet/PeerAddress.h"
+#include "lacewing/Incarnation.h"
+
+#include <vector>
+
+namespace lacewing {
+
+/** Who this host is and whom it may ask first. */
+struct HostIdentity
+{
+  PeerAddress self;
+  Incarnation incarnation;
+  /** Hosts that may know the fleet; any of them may be down. */
+  std::vector<Endpoint> seeds;
+  /** The fleet starts for the first time: no host is registered yet. */
+  bool firstStart = false;
+};
+
+} // namespace lacewing
+
+#endif // FLEET_HOSTIDENTITY_H
--- /dev/null
+++ b/src/fleet/PeerCodec.cpp
@@ -0,0 +1,60 @@
+#include "fleet/PeerCodec.h"
+
+#include "core/CborBounds.h"
+#include "wire/WireValue.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lacewing {
+
+namespace {
+
+constexpr CborBounds kBeatBounds{ ByteCount(65536), 6, 20000 };
+constexpr CborBounds kPullBounds{ ByteCount(8U << 20U), 6, 200000 };
+
+template<class Message>
+std::string Encode(const Message& aMessage)
+{
+  std::string bytes;
+  nlohmann::json::to_cbor(ToWire(aMessage), bytes);
+  return bytes;
+}
+
+template<class Message>
+Outcome<Message> Decode(std::string_view aBytes, const CborBounds& aBounds)
+{
+  BOOST_OUTCOME_TRYV(CheckCborBounds(aBytes, aBounds));
+  const nlohmann::json json =
+    nlohmann::json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  Message message;
+  if (json.is_discarded() || !FromWire(json, message)) {
+    return Fail(ErrorKind::kInvalidMessage,
+                "a peer's message cannot be read",
+                "check that all hosts run releases that fit");
+  }
+  return message;
+}
+
+} // namespace
+
+std::string EncodeBeat(const PeerBeat& aBeat)
+{
+  return Encode(aBeat);
+}
+
+Outcome<PeerBeat> DecodeBeat(std::string_view aBytes)
+{
+  return Decode<PeerBeat>(aBytes, kBeatBounds);
+}
+
+std::string EncodePull(const CatalogPull& aPull)
+{
+  return Encode(aPull);
+}
+
+Outcome<CatalogPull> DecodePull(std::string_view aBytes)
+{
+  return Decode<CatalogPull>(aBytes, kPullBounds);
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/fleet/Prober.cpp
@@ -0,0 +1,131 @@
+#include "fleet/Prober.h"
+
+#include "http/HttpCaller.h"
+
+#include <charconv>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+// A healthy target answers within some milliseconds; one that takes this long
+// would hold a request up as well.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+
+Duration ReadColdLeft(const std::string* aField)
+{
+  std::int64_t milliseconds = 0;
+  if (aField != nullptr) {
+    std::from_chars(
+      aField->data(), aField->data() + aField->size(), milliseconds);
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
+struct Prober::Impl
+{
+  struct Entry
+  {
+    ProbeTarget target;
+    std::unique_ptr<HttpCaller> caller;
+  };
+
+  asio::io_context& context;
+  const Clock& clock;
+  const HeaderNames names;
+  Handler handler;
+  std::map<TargetId, Entry> entries;
+  std::uint64_t probes = 0;
+
+  void Probe(Entry& aEntry)
+  {
+    if (!aEntry.caller) {
+      ConnectionOptions options;
+      options.endpoint = aEntry.target.spec.endpoint;
+      options.connectTimeout = kProbeTimeout;
+      aEntry.caller = std::make_unique<HttpCaller>(context, options, clock);
+    }
+    if (aEntry.caller->Busy()) {
+      return;
+    }
+    ++probes;
+    HttpMessage request;
+    request.head.method = "GET";
+    request.head.target = aEntry.target.healthPath;
+    aEntry.caller->Call(std::move(request),
+                        kProbeTimeout,
+                        [this, id = aEntry.target.spec.id](
+                          ExchangeResult aResult) { OnAnswer(id, aResult); });
+  }
+
+  void OnAnswer(const TargetId& aTarget, const ExchangeResult& aResult)
+  {
+    LoadReading reading;
+    reading.target = aTarget;
+    reading.measuredAt = clock.Now();
+    const HttpFields& fields = aResult.answer.head.fields;
+    const std::string* id = fields.Find(names.targetId);
+    const bool another = id != nullptr && *id != aTarget.value();
+    if (aResult.end == ExchangeEnd::kAnswered && !another) {
+      reading.state = aResult.answer.head.status == 200
+                        ? ReadingState::kServing
+                        : ReadingState::kRefusing;
+      const std::string* load = fields.Find(names.load);
+      if (load != nullptr && names.parseLoad != nullptr) {
+        reading.load = names.parseLoad(*load).value_or(TargetLoad());
+      }
+      reading.coldLeft = ReadColdLeft(fields.Find(names.coldLeft));
+    }
+    handler(reading);
+  }
+};
+
+Prober::Prober(asio::io_context& aContext,
+               const Clock& aClock,
+               const HeaderNames& aNames,
+               Handler aHandler)
+  : impl_(new Impl{ aContext, aClock, aNames, std::move(aHandler), {}, 0 })
+{
+}
+
+Prober::~Prober() = default;
+
+void Prober::SetTargets(const std::vector<ProbeTarget>& aTargets)
+{
+  std::map<TargetId, Impl::Entry> entries;
+  for (const ProbeTarget& target : aTargets) {
+    Impl::Entry& entry = entries[target.spec.id];
+    const auto held = impl_->entries.find(target.spec.id);
+    if (held != impl_->entries.end() &&
+        held->second.target.spec.born == target.spec.born &&
+        held->second.target.spec.endpoint == target.spec.endpoint) {
+      entry.caller = std::move(held->second.caller);
+    }
+    entry.target = target;
+  }
+  impl_->entries = std::move(entries);
+}
+
+void Prober::ProbeAll()
+{
+  for (auto& [id, entry] : impl_->entries) {
+    impl_->Probe(entry);
+  }
+}
+
+std::size_t Prober::TargetCount() const
+{
+  return impl_->entries.size();
+}
+
+std::uint64_t Prober::ProbeCount() const
+{
+  return impl_->probes;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/fleet/WireReading.h
@@ -0,0 +1,42 @@
+#ifndef FLEET_WIREREADING_H
+#define FLEET_WIREREADING_H
+
+#include "balance/LoadReading.h"
+#include "wire/WireMember.h"
+
+#include <cstdint>
+#include <tuple>
+
+namespace lacewing {
+
+/** A reading as it travels between hosts: with its age in place of a time. */
+struct WireReading
+{
+  TargetId target;
+  std::uint32_t state = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  std::uint32_t slowdownPercent = 0;
+  Duration coldLeft{ 0 };
+  Duration age{ 0 };
+
+  static WireReading From(const LoadReading& aReading, TimePoint aNow);
+  LoadReading ToReading(TimePoint aNow) const;
+
+  static constexpr auto WireMembers()
+  {
+    return std::make_tuple(WireMember{ "t", &WireReading::target },
+                           WireMember{ "s", &WireReading::state },
+                           WireMember{ "r", &WireReading::running },
+                           WireMember{ "w", &WireReading::waiting },
+                           WireMember{ "n", &WireReading::slots },
+                           WireMember{ "p", &WireReading::slowdownPercent },
+                           WireMember{ "c", &WireReading::coldLeft },
+                           WireMember{ "a", &WireReading::age });
+  }
+};
+
+} // namespace lacewing
+
+#endif // FLEET_WIREREADING_H
--- /dev/null
+++ b/src/gateway/Attempt.h
@@ -0,0 +1,25 @@
+#ifndef GATEWAY_ATTEMPT_H
+#define GATEWAY_ATTEMPT_H
+
+#include "balance/Choice.h"
+#include "catalog/TargetSpec.h"
+#include "http/HttpConnection.h"
+#include "lacewing/AttemptId.h"
+
+#include <memory>
+
+namespace lacewing {
+
+/** One sending of a request that has not ended. */
+struct Attempt
+{
+  AttemptId id;
+  TargetSpec target;
+  Choice choice;
+  TimePoint sentAt;
+  std::unique_ptr<HttpConnection> connection;
+};
+
+} // namespace lacewing
+
+#endif // GATEWAY_ATTEMPT_H
--- /dev/null
+++ b/src/gateway/CallerSession.h
@@ -0,0 +1,84 @@
+#ifndef GATEWAY_CALLERSESSION_H
+#define GATEWAY_CALLERSESSION_H
+
+#include "gateway/Exchange.h"
+#include "gateway/TrafficState.h"
+#include "http/MessageParser.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lacewing {
+
+/**
+ * One caller's connection: reads requests one after the other, and watches for
+ * the caller's leaving while a request is in progress.
+ */
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+  CallerSession(TrafficState& aState,
+                asio::ip::tcp::socket aSocket,
+                std::function<void(CallerSession*)> aOnClosed);
+
+  void Start();
+
+  /** Closes when no request is in progress or partly read. */
+  void CloseIfIdle();
+
+  bool Busy() const { return static_cast<bool>(exchange_) || writing_; }
+
+private:
+  enum class Stage
+  {
+    kReading,
+    kAnswering,
+    /** The last answer is out; what still arrives is dropped. */
+    kLingering,
+    kClosed,
+  };
+
+  void Read();
+  void OnRead(const asio::error_code& aError, std::size_t aCount);
+  void Consume();
+  void OnParseFailure();
+  void SendContinue();
+  void BeginExchange();
+  void Answer(HttpMessage aAnswer);
+  void Write();
+  void OnWritten(const asio::error_code& aError);
+  void Linger();
+  void Close();
+  void ArmTimer(Duration aAfter);
+  void ArmReadTimer();
+  void OnTimer();
+  CallerLimits Limits() const;
+
+  TrafficState& state_;
+  asio::ip::tcp::socket socket_;
+  std::function<void(CallerSession*)> onClosed_;
+  asio::steady_timer timer_;
+  MessageParser parser_;
+  std::array<char, 4096> buffer_{};
+  /** Bytes behind the request in progress. */
+  std::string pending_;
+  std::shared_ptr<Exchange> exchange_;
+  std::string outHead_;
+  std::string outBody_;
+  Stage stage_ = Stage::kReading;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool continued_ = false;
+  bool keepAlive_ = true;
+  bool headRequest_ = false;
+  bool headTimed_ = false;
+};
+
+} // namespace lacewing
+
+#endif // GATEWAY_CALLERSESSION_H
--- /dev/null
+++ b/src/gateway/Exchange.cpp
@@ -0,0 +1,463 @@
+#include "gateway/Exchange.h"
+
+#include "balance/RepeatRule.h"
+#include "core/Log.h"
+#include "gateway/AnswerCheck.h"
+#include "http/HopFields.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+// A request in flight for this many times the usual work is sent to a second
+// target when its target was seen to be slowed, or for the longer one anyhow.
+constexpr double kHedgeSlowed = 1.15;
+constexpr double kHedgeAnyhow = 1.8;
+// Readings from this slowdown on make a target look stuck.
+constexpr unsigned kStuckPercent = 150;
+// Targets that are asked before a request is given up; only those that got no
+// byte may go beyond the route's attempts.
+constexpr unsigned kMaxTries = 6;
+// Part of the latency objective for which a request without a target waits
+// for one; the rules count longer waits as held up.
+constexpr int kWaitDivisor = 10;
+// Callers come back no sooner; long enough for readings to change.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
+// The sender's patience when it states none beyond the route's timeout.
+constexpr Duration kLongest = std::chrono::hours(1);
+
+std::string Milliseconds(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+} // namespace
+
+Exchange::Exchange(TrafficState& aState, HttpMessage aRequest, Handler aHandler)
+  : state_(aState)
+  , head_(std::move(aRequest.head))
+  , body_(aRequest.body.empty()
+            ? nullptr
+            : std::make_shared<const std::string>(std::move(aRequest.body)))
+  , handler_(std::move(aHandler))
+  , startedAt_(aState.Now())
+  , deadlineTimer_(aState.Context())
+  , stepTimer_(aState.Context())
+{
+  id_ = FieldOf(state_.Names().requestId);
+}
+
+std::string Exchange::FieldOf(const std::string& aName) const
+{
+  const std::string* field = head_.fields.Find(aName);
+  return field == nullptr ? std::string() : *field;
+}
+
+void Exchange::ReadDeadline()
+{
+  const std::string text = FieldOf(state_.Names().deadline);
+  Duration patience = kLongest;
+  std::int64_t milliseconds = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  if (!text.empty() && error == std::errc() && milliseconds >= 0) {
+    patience =
+      std::min<Duration>(std::chrono::milliseconds(milliseconds), kLongest);
+  }
+  deadline_ = startedAt_ + std::min(patience, route_->timeout);
+}
+
+void Exchange::Start()
+{
+  ++state_.Counters().requests;
+  const auto fleet = state_.Fleet();
+  routes_ = fleet->routes;
+  if (!routes_) {
+    FinishOwn(OwnAnswerKind::kRefused);
+    return;
+  }
+  route_ = routes_->Find(FieldOf("Host"), head_.target);
+  if (route_ == nullptr) {
+    FinishOwn(OwnAnswerKind::kNoRoute);
+    return;
+  }
+  ReadDeadline();
+  service_ = state_.SplitOf(route_->name).Next(route_->shares);
+  state_.RepeatsOf(service_).CountRequest(startedAt_);
+  ArmDeadline();
+  if (!TrySend()) {
+    WaitForRoom();
+  }
+}
+
+void Exchange::ArmDeadline()
+{
+  deadlineTimer_.expires_at(deadline_);
+  deadlineTimer_.async_wait(
+    [self = weak_from_this()](const asio::error_code& aError) {
+      const auto exchange = self.lock();
+      if (aError || !exchange || exchange->done_) {
+        return;
+      }
+      exchange->FinishOwn(exchange->sent_ > 0 ? OwnAnswerKind::kTimedOut
+                                              : OwnAnswerKind::kRefused);
+    });
+}
+
+void Exchange::ArmHedge(Duration aAfter, bool aLast)
+{
+  stepTimer_.expires_after(aAfter);
+  stepTimer_.async_wait(
+    [self = weak_from_this(), aLast](const asio::error_code& aError) {
+      const auto exchange = self.lock();
+      if (!aError && exchange && !exchange->done_) {
+        exchange->OnHedge(aLast);
+      }
+    });
+}
+
+bool Exchange::LooksStuck(const Attempt& aAttempt) const
+{
+  const auto load = state_.Load();
+  const LoadReading* reading = load->Find(aAttempt.target.id);
+  return reading == nullptr || reading->state != ReadingState::kServing ||
+         reading->load.slowdownPercent >= kStuckPercent;
+}
+
+void Exchange::OnHedge(bool aLast)
+{
+  if (attempts_.size() != 1 || sent_ >= route_->maxAttempts) {
+    return;
+  }
+  const Duration work = state_.LearningOf(*route_).UsualWork();
+  if (!aLast && !LooksStuck(attempts_.front())) {
+    ArmHedge(std::chrono::duration_cast<Duration>(
+               work * (kHedgeAnyhow - kHedgeSlowed)),
+             true);
+    return;
+  }
+  // A second attempt that cannot end in time only adds load.
+  if (state_.Now() + work > deadline_) {
+    return;
+  }
+  const auto fleet = state_.Fleet();
+  if (!state_.RepeatsOf(service_).Take(state_.Now(), fleet->hosts)) {
+    ++state_.Counters().repeatsDenied;
+    return;
+  }
+  if (TrySend()) {
+    ++state_.Counters().hedges;
+  }
+}
+
+std::vector<Candidate> Exchange::Candidates(const FleetSnapshot& aFleet,
+                                            const LoadSnapshot& aLoad)
+{
+  std::vector<Candidate> candidates;
+  const auto targets = aFleet.targets.find(service_);
+  if (targets == aFleet.targets.end()) {
+    return candidates;
+  }
+  candidates.reserve(targets->second.size());
+  for (const FleetTarget& target : targets->second) {
+    if (tried_.count(target.spec.id) != 0) {
+      continue;
+    }
+    candidates.push_back({ &target,
+                           aLoad.Find(target.spec.id),
+                           &state_.ViewOf(target.spec.id),
+                           state_.Pool().HasFree(target.spec) });
+  }
+  return candidates;
+}
+
+bool Exchange::TrySend()
+{
+  const auto fleet = state_.Fleet();
+  const auto load = state_.Load();
+  const std::vector<Candidate> candidates = Candidates(*fleet, *load);
+  const RouteLearning& learning = state_.LearningOf(*route_);
+  ChoiceContext context;
+  context.now = state_.Now();
+  context.usualWork = learning.UsualWork();
+  context.bytes = ByteCount(body_ ? body_->size() : 0) + learning.AnswerBytes();
+  const auto choice = state_.Chooser().Choose(context, candidates);
+  if (!choice) {
+    return false;
+  }
+  Send(*candidates[choice->index].target, *choice);
+  return true;
+}
+
+HttpHead Exchange::RequestHead(const TargetSpec& aTarget) const
+{
+  const HeaderNames& names = state_.Names();
+  HttpHead head;
+  head.method = head_.method;
+  head.target = head_.target;
+  head.fields = EndToEndFields(head_.fields);
+  head.fields.Set(names.deadline, Milliseconds(deadline_ - state_.Now()));
+  head.fields.Set(names.expectedTarget, aTarget.id.value());
+  return head;
+}
+
+void Exchange::Send(const FleetTarget& aTarget, const Choice& aChoice)
+{
+  Attempt attempt;
+  attempt.id = ++nextAttempt_;
+  attempt.target = aTarget.spec;
+  attempt.choice = aChoice;
+  attempt.sentAt = state_.Now();
+  attempt.connection = state_.Pool().Take(aTarget.spec);
+  tried_.insert(aTarget.spec.id);
+  ++tries_;
+  ++sent_;
+  ++state_.Counters().attempts;
+  state_.ViewOf(aTarget.spec.id).OnSent(attempt.sentAt);
+  OutgoingRequest request;
+  request.head = RequestHead(aTarget.spec);
+  request.body = body_;
+  request.isOurs = [&names = state_.Names(), id = id_](const HttpHead& aHead) {
+    return BelongsTo(aHead, names, id);
+  };
+  attempt.connection->Send(
+    std::move(request),
+    [self = shared_from_this(), id = attempt.id](ExchangeResult aResult) {
+      self->OnEnded(id, std::move(aResult));
+    });
+  attempts_.push_back(std::move(attempt));
+  if (sent_ == 1 && !RunsAtMostOnce(route_->requestClass)) {
+    const Duration work = state_.LearningOf(*route_).UsualWork();
+    ArmHedge(std::chrono::duration_cast<Duration>(work * kHedgeSlowed), false);
+  }
+}
+
+void Exchange::Learn(const Attempt& aAttempt,
+                     AttemptEnd aEnd,
+                     const ExchangeResult& aResult)
+{
+  const TimePoint now = state_.Now();
+  const HeaderNames& names = state_.Names();
+  LocalView& view = state_.ViewOf(aAttempt.target.id);
+  view.OnEnded();
+  const std::string* load = aResult.answer.head.fields.Find(names.load);
+  if (load != nullptr && names.parseLoad != nullptr) {
+    if (const auto parsed = names.parseLoad(*load)) {
+      view.OnLoad(now, *parsed);
+    }
+  }
+  switch (aEnd) {
+    case AttemptEnd::kSuccess:
+      view.OnSuccess(now);
+      state_.LearningOf(*route_).OnAnswer(
+        now - aAttempt.sentAt,
+        aAttempt.choice.slowdownPercent,
+        ByteCount(aResult.answer.body.size()));
+      break;
+    case AttemptEnd::kNotRun:
+    case AttemptEnd::kTargetFailure:
+      view.OnFailure(now, 1);
+      break;
+    case AttemptEnd::kNotSent:
+    case AttemptEnd::kUnknown:
+      view.OnFailure(now, 1);
+      view.OnTrouble(now);
+      break;
+  }
+}
+
+void Exchange::OnEnded(AttemptId aAttempt, ExchangeResult aResult)
+{
+  const auto found = std::find_if(
+    attempts_.begin(), attempts_.end(), [aAttempt](const Attempt& aEach) {
+      return aEach.id == aAttempt;
+    });
+  if (found == attempts_.end()) {
+    return;
+  }
+  Attempt attempt = std::move(*found);
+  attempts_.erase(found);
+  const AttemptEnd end = Classify(aResult, state_.Names());
+  Learn(attempt, end, aResult);
+  state_.Pool().Put(attempt.target, std::move(attempt.connection));
+  if (end != AttemptEnd::kSuccess) {
+    LogAttempt(attempt, end, aResult);
+  }
+  if (end == AttemptEnd::kNotSent) {
+    --sent_;
+  }
+  mayHaveRun_ |=
+    end == AttemptEnd::kUnknown || end == AttemptEnd::kTargetFailure;
+  if (done_) {
+    return;
+  }
+  if (end == AttemptEnd::kSuccess) {
+    Finish(std::move(aResult.answer), "success");
+    return;
+  }
+  if (TryRepeat(end) || !attempts_.empty()) {
+    return;
+  }
+  Conclude(end, std::move(aResult));
+}
+
+bool Exchange::TryRepeat(AttemptEnd aEnd)
+{
+  if (abandoned_ || !MayRepeat(route_->requestClass, aEnd) ||
+      sent_ >= route_->maxAttempts || tries_ >= kMaxTries ||
+      state_.Now() >= deadline_) {
+    return false;
+  }
+  const auto fleet = state_.Fleet();
+  if (aEnd != AttemptEnd::kNotSent &&
+      !state_.RepeatsOf(service_).Take(state_.Now(), fleet->hosts)) {
+    ++state_.Counters().repeatsDenied;
+    return false;
+  }
+  if (!TrySend()) {
+    return false;
+  }
+  ++state_.Counters().repeats;
+  return true;
+}
+
+void Exchange::WaitForRoom()
+{
+  if (waited_) {
+    FinishOwn(OwnAnswerKind::kRefused);
+    return;
+  }
+  waited_ = true;
+  stepTimer_.expires_after(route_->latencyObjective / kWaitDivisor);
+  stepTimer_.async_wait(
+    [self = weak_from_this()](const asio::error_code& aError) {
+      const auto exchange = self.lock();
+      if (!aError && exchange && !exchange->done_ && !exchange->TrySend()) {
+        exchange->FinishOwn(OwnAnswerKind::kRefused);
+      }
+    });
+}
+
+void Exchange::Conclude(AttemptEnd aEnd, ExchangeResult aResult)
+{
+  if (aEnd == AttemptEnd::kTargetFailure && MayPassOn(aResult.answer.head)) {
+    ++state_.Counters().targetFailures;
+    Finish(std::move(aResult.answer), "target-failure");
+    return;
+  }
+  FinishOwn(mayHaveRun_ ? OwnAnswerKind::kOutcomeUnknown
+                        : OwnAnswerKind::kRefused);
+}
+
+void Exchange::FinishOwn(OwnAnswerKind aKind)
+{
+  GatewayCounters& counters = state_.Counters();
+  std::optional<Duration> retryAfter;
+  const char* outcome = "unknown";
+  switch (aKind) {
+    case OwnAnswerKind::kRefused:
+      ++counters.refused;
+      retryAfter = kRetryAfter;
+      outcome = "refused";
+      break;
+    case OwnAnswerKind::kTimedOut:
+      ++counters.timedOut;
+      outcome = "timed-out";
+      break;
+    case OwnAnswerKind::kNoRoute:
+      ++counters.noRoute;
+      outcome = "no-route";
+      break;
+    default:
+      ++counters.lost;
+      break;
+  }
+  Finish(MakeOwnAnswer(aKind, state_.Names().requestId, id_, retryAfter),
+         outcome);
+}
+
+void Exchange::Finish(HttpMessage aAnswer, const char* aOutcome)
+{
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  if (aAnswer.head.status / 100 == 2) {
+    ++state_.Counters().succeeded;
+  }
+  state_.Counters().latency.Add(state_.Now() - startedAt_);
+  LogEnd(aAnswer.head.status, aOutcome);
+  deadlineTimer_.cancel();
+  stepTimer_.cancel();
+  CancelAttempts();
+  if (const Handler handler = std::exchange(handler_, nullptr)) {
+    handler(std::move(aAnswer));
+  }
+}
+
+void Exchange::Abandon()
+{
+  ++state_.Counters().callersGone;
+  abandoned_ = true;
+  handler_ = nullptr;
+  if (done_) {
+    return;
+  }
+  if (route_ != nullptr && RunsAtMostOnce(route_->requestClass)) {
+    return;
+  }
+  done_ = true;
+  LogEnd(0, "caller-gone");
+  deadlineTimer_.cancel();
+  stepTimer_.cancel();
+  CancelAttempts();
+}
+
+void Exchange::CancelAttempts()
+{
+  for (Attempt& attempt : attempts_) {
+    state_.ViewOf(attempt.target.id).OnEnded();
+  }
+  // Destroying a connection may free this exchange's last handler; the
+  // attempts are moved out first so that none is seen half destroyed.
+  const std::vector<Attempt> cancelled = std::exchange(attempts_, {});
+}
+
+void Exchange::LogAttempt(const Attempt& aAttempt,
+                          AttemptEnd aEnd,
+                          const ExchangeResult& aResult) const
+{
+  Log(LogLevel::kInfo,
+      "attempt",
+      { { "request", id_ },
+        { "target", aAttempt.target.id.value() },
+        { "end", ToString(aEnd) },
+        { "status", std::to_string(aResult.answer.head.status) },
+        { "detail", aResult.detail },
+        { "ms", Milliseconds(state_.Now() - aAttempt.sentAt) },
+        { "busy", std::to_string(aAttempt.choice.busy) },
+        { "slowdown", std::to_string(aAttempt.choice.slowdownPercent) },
+        { "reading_age_ms", Milliseconds(aAttempt.choice.readingAge) },
+        { "cold", aAttempt.choice.cold ? "1" : "0" } });
+}
+
+void Exchange::LogEnd(unsigned aStatus, const char* aOutcome) const
+{
+  Log(LogLevel::kInfo,
+      "request",
+      { { "request", id_ },
+        { "route", route_ ? route_->name.value() : "" },
+        { "config", routes_ ? std::to_string(routes_->Version().value()) : "" },
+        { "service", service_.value() },
+        { "status", std::to_string(aStatus) },
+        { "outcome", aOutcome },
+        { "tries", std::to_string(tries_) },
+        { "ms", Milliseconds(state_.Now() - startedAt_) } });
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/gateway/TrafficState.cpp
@@ -0,0 +1,49 @@
+#include "gateway/TrafficState.h"
+
+#include <set>
+
+namespace lacewing {
+
+TrafficState::TrafficState(asio::io_context& aContext,
+                           const Clock& aClock,
+                           const GatewayOptions& aOptions,
+                           const SnapshotCell<FleetSnapshot>& aFleet,
+                           const SnapshotCell<LoadSnapshot>& aLoad)
+  : context_(aContext)
+  , clock_(aClock)
+  , options_(aOptions)
+  , fleet_(aFleet)
+  , load_(aLoad)
+  , pool_(aContext, aClock)
+  , chooser_(MakeEarliestAnswerChooser(aOptions.seed))
+{
+}
+
+RepeatWindow& TrafficState::RepeatsOf(const ServiceId& aService)
+{
+  return repeats_.try_emplace(aService, options_.repeats).first->second;
+}
+
+RouteLearning& TrafficState::LearningOf(const RouteSpec& aRoute)
+{
+  return learning_.try_emplace(aRoute.name, aRoute).first->second;
+}
+
+void TrafficState::CleanUp()
+{
+  pool_.CloseExpired();
+  const auto fleet = Fleet();
+  std::set<TargetId> known;
+  for (const auto& [service, targets] : fleet->targets) {
+    for (const FleetTarget& target : targets) {
+      known.insert(target.spec.id);
+    }
+  }
+  for (auto view = views_.begin(); view != views_.end();) {
+    const bool idle = view->second.InFlight() == 0;
+    view = idle && known.count(view->first) == 0 ? views_.erase(view)
+                                                 : std::next(view);
+  }
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/gateway/TrafficState.h
@@ -0,0 +1,74 @@
+#ifndef GATEWAY_TRAFFICSTATE_H
+#define GATEWAY_TRAFFICSTATE_H
+
+#include "balance/FleetSnapshot.h"
+#include "balance/LoadSnapshot.h"
+#include "balance/LocalView.h"
+#include "balance/RepeatWindow.h"
+#include "balance/SplitCursor.h"
+#include "balance/TargetChooser.h"
+#include "core/SnapshotCell.h"
+#include "gateway/GatewayCounters.h"
+#include "gateway/GatewayOptions.h"
+#include "gateway/RouteLearning.h"
+#include "gateway/TargetPool.h"
+
+#include <asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+
+namespace lacewing {
+
+/** All that the traffic thread owns beside connections and requests. */
+class TrafficState
+{
+public:
+  TrafficState(asio::io_context& aContext,
+               const Clock& aClock,
+               const GatewayOptions& aOptions,
+               const SnapshotCell<FleetSnapshot>& aFleet,
+               const SnapshotCell<LoadSnapshot>& aLoad);
+
+  asio::io_context& Context() { return context_; }
+  TimePoint Now() const { return clock_.Now(); }
+  const HeaderNames& Names() const { return options_.names; }
+
+  std::shared_ptr<const FleetSnapshot> Fleet() const { return fleet_.Get(); }
+  std::shared_ptr<const LoadSnapshot> Load() const { return load_.Get(); }
+
+  TargetPool& Pool() { return pool_; }
+  TargetChooser& Chooser() { return *chooser_; }
+  GatewayCounters& Counters() { return counters_; }
+
+  LocalView& ViewOf(const TargetId& aTarget) { return views_[aTarget]; }
+  RepeatWindow& RepeatsOf(const ServiceId& aService);
+  SplitCursor& SplitOf(const RouteName& aRoute) { return splits_[aRoute]; }
+  RouteLearning& LearningOf(const RouteSpec& aRoute);
+
+  /** The process is leaving: answers close their connections. */
+  bool Draining() const { return draining_; }
+  void BeginDrain() { draining_ = true; }
+
+  /** Drops what belongs to targets that are gone; closes idle connections. */
+  void CleanUp();
+
+private:
+  asio::io_context& context_;
+  const Clock& clock_;
+  const GatewayOptions options_;
+  const SnapshotCell<FleetSnapshot>& fleet_;
+  const SnapshotCell<LoadSnapshot>& load_;
+  TargetPool pool_;
+  std::unique_ptr<TargetChooser> chooser_;
+  GatewayCounters counters_;
+  std::map<TargetId, LocalView> views_;
+  std::map<ServiceId, RepeatWindow> repeats_;
+  std::map<RouteName, SplitCursor> splits_;
+  std::map<RouteName, RouteLearning> learning_;
+  bool draining_ = false;
+};
+
+} // namespace lacewing
+
+#endif // GATEWAY_TRAFFICSTATE_H
--- /dev/null
+++ b/src/http/ExchangeResult.h
@@ -0,0 +1,23 @@
+#ifndef HTTP_EXCHANGERESULT_H
+#define HTTP_EXCHANGERESULT_H
+
+#include "http/ExchangeEnd.h"
+#include "http/HttpMessage.h"
+
+#include <string>
+
+namespace lacewing {
+
+/** The end of one request on a client connection. */
+struct ExchangeResult
+{
+  ExchangeEnd end = ExchangeEnd::kLost;
+  /** The answer, with kAnswered. */
+  HttpMessage answer;
+  /** What failed, for logs. */
+  std::string detail;
+};
+
+} // namespace lacewing
+
+#endif // HTTP_EXCHANGERESULT_H
--- a/src/entry/HopFields.cpp
+++ b/src/http/HopFields.cpp
@@ -1,4 +1,4 @@
-#include "entry/HopFields.h"
+#include "http/HopFields.h"
 
 #include <algorithm>
 #include <array>
--- a/src/entry/HopFields.h
+++ b/src/http/HopFields.h
@@ -1,7 +1,7 @@
-#ifndef ENTRY_HOPFIELDS_H
-#define ENTRY_HOPFIELDS_H
+#ifndef HTTP_HOPFIELDS_H
+#define HTTP_HOPFIELDS_H
 
-#include "net/HttpFields.h"
+#include "http/HttpFields.h"
 
 namespace lacewing {
 
@@ -14,4 +14,4 @@
 
 } // namespace lacewing
 
-#endif // ENTRY_HOPFIELDS_H
+#endif // HTTP_HOPFIELDS_H
--- /dev/null
+++ b/src/http/HttpConnection.cpp
@@ -0,0 +1,368 @@
+#include "http/HttpConnection.h"
+
+#include "http/MessageBytes.h"
+#include "http/MessageParser.h"
+#include "http/SocketOptions.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lacewing {
+
+namespace {
+
+constexpr std::size_t kReadSize = 4096;
+
+/** Reads "timeout=5" out of a Keep-Alive value. */
+std::optional<Duration> KeepAliveTimeout(const std::string& aValue)
+{
+  constexpr std::string_view kKey = "timeout=";
+  const std::size_t at = aValue.find(kKey);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  unsigned seconds = 0;
+  const char* first = aValue.data() + at + kKey.size();
+  const auto [end, error] =
+    std::from_chars(first, aValue.data() + aValue.size(), seconds);
+  if (error != std::errc() || end == first) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+struct HttpConnection::Impl : std::enable_shared_from_this<Impl>
+{
+  enum class Phase
+  {
+    kNew,
+    kConnecting,
+    kOpen,
+    kClosed,
+  };
+
+  asio::io_context& context;
+  const ConnectionOptions options;
+  const Clock& clock;
+  asio::ip::tcp::socket socket;
+  asio::steady_timer connectTimer;
+  MessageParser parser;
+  std::array<char, kReadSize> buffer{};
+  Phase phase = Phase::kNew;
+  bool reading = false;
+  bool writing = false;
+  bool reusable = true;
+  TimePoint idleSince;
+  std::optional<Duration> keepAlive;
+  OutgoingRequest request;
+  std::string headBytes;
+  Handler handler;
+  std::function<void()> idleEnd;
+
+  Impl(asio::io_context& aContext,
+       const ConnectionOptions& aOptions,
+       const Clock& aClock)
+    : context(aContext)
+    , options(aOptions)
+    , clock(aClock)
+    , socket(aContext)
+    , connectTimer(aContext)
+    , parser(MessageSide::kAnswer, aOptions.limits)
+    , idleSince(aClock.Now())
+  {
+  }
+
+  void Close()
+  {
+    phase = Phase::kClosed;
+    reusable = false;
+    connectTimer.cancel();
+    asio::error_code ignored;
+    socket.close(ignored);
+  }
+
+  /** Ends the request; later, so that a handler may destroy the owner. */
+  void Finish(ExchangeEnd aEnd, std::string aDetail, HttpMessage aAnswer = {})
+  {
+    if (!handler) {
+      return;
+    }
+    if (aEnd != ExchangeEnd::kAnswered) {
+      Close();
+    }
+    idleSince = clock.Now();
+    request = OutgoingRequest();
+    ExchangeResult result{ aEnd, std::move(aAnswer), std::move(aDetail) };
+    asio::post(context,
+               [self = shared_from_this(),
+                done = std::exchange(handler, nullptr),
+                ended = std::move(result)]() mutable {
+                 if (!self->abandoned) {
+                   done(std::move(ended));
+                 }
+               });
+  }
+
+  void Connect()
+  {
+    phase = Phase::kConnecting;
+    asio::error_code failed;
+    const auto address =
+      asio::ip::make_address(options.endpoint.address, failed);
+    if (failed) {
+      Finish(ExchangeEnd::kNotSent, "bad address");
+      return;
+    }
+    connectTimer.expires_after(options.connectTimeout);
+    connectTimer.async_wait(
+      [self = shared_from_this()](const asio::error_code& aError) {
+        if (!aError && self->phase == Phase::kConnecting) {
+          self->Finish(ExchangeEnd::kNotSent, "connecting took too long");
+        }
+      });
+    socket.async_connect(
+      { address, options.endpoint.port },
+      [self = shared_from_this()](const asio::error_code& aError) {
+        self->OnConnected(aError);
+      });
+  }
+
+  void OnConnected(const asio::error_code& aError)
+  {
+    if (phase != Phase::kConnecting) {
+      return;
+    }
+    connectTimer.cancel();
+    if (aError) {
+      Finish(ExchangeEnd::kNotSent, "connect: " + aError.message());
+      return;
+    }
+    SetStreamOptions(socket);
+    phase = Phase::kOpen;
+    Write();
+    Read();
+  }
+
+  void Write()
+  {
+    std::vector<asio::const_buffer> parts{ asio::buffer(headBytes) };
+    if (request.body) {
+      parts.push_back(asio::buffer(*request.body));
+    }
+    writing = true;
+    asio::async_write(socket,
+                      parts,
+                      [self = shared_from_this(), body = request.body](
+                        const asio::error_code& aError, std::size_t aCount) {
+                        self->OnWritten(aError, aCount);
+                      });
+  }
+
+  void OnWritten(const asio::error_code& aError, std::size_t aCount)
+  {
+    writing = false;
+    if (!aError || phase != Phase::kOpen || !handler) {
+      return;
+    }
+    if (aCount == 0) {
+      Finish(ExchangeEnd::kNotSent, "write: " + aError.message());
+      return;
+    }
+    // The answer may already be on its way; reading decides.
+    reusable = false;
+  }
+
+  void Read()
+  {
+    if (reading || phase != Phase::kOpen) {
+      return;
+    }
+    reading = true;
+    socket.async_read_some(
+      asio::buffer(buffer),
+      [self = shared_from_this()](const asio::error_code& aError,
+                                  std::size_t aCount) {
+        self->reading = false;
+        self->OnRead(aError, aCount);
+      });
+  }
+
+  void OnRead(const asio::error_code& aError, std::size_t aCount)
+  {
+    if (phase != Phase::kOpen) {
+      return;
+    }
+    if (!handler) {
+      EndIdle();
+      return;
+    }
+    if (aError == asio::error::eof) {
+      OnEnd();
+      return;
+    }
+    if (aError) {
+      Finish(ExchangeEnd::kLost, "read: " + aError.message());
+      return;
+    }
+    Consume({ buffer.data(), aCount });
+  }
+
+  void EndIdle()
+  {
+    Close();
+    if (idleEnd) {
+      asio::post(
+        context,
+        [self = shared_from_this(), ended = std::exchange(idleEnd, nullptr)] {
+          if (!self->abandoned) {
+            ended();
+          }
+        });
+    }
+  }
+
+  /** The peer closed: only an answer without a length is whole now. */
+  void OnEnd()
+  {
+    reusable = false;
+    parser.FeedEnd();
+    if (parser.Whole() && IsOurs()) {
+      FinishAnswer(true);
+      return;
+    }
+    Finish(ExchangeEnd::kLost,
+           parser.Started() ? "the answer broke off" : "closed unanswered");
+  }
+
+  bool IsOurs() const
+  {
+    return parser.Head().status / 100 != 1 &&
+           (!request.isOurs || request.isOurs(parser.Head()));
+  }
+
+  void Consume(std::string_view aBytes)
+  {
+    while (!aBytes.empty()) {
+      aBytes.remove_prefix(parser.Feed(aBytes));
+      if (parser.Failure() != ParseFailure::kNone) {
+        Finish(ExchangeEnd::kMalformed, "bytes that are no answer");
+        return;
+      }
+      if (!parser.Whole()) {
+        break;
+      }
+      if (IsOurs()) {
+        FinishAnswer(!aBytes.empty());
+        return;
+      }
+      SkipAnswer();
+    }
+    Read();
+  }
+
+  /** Drops an interim answer or one that belongs to an earlier request. */
+  void SkipAnswer()
+  {
+    if (parser.Head().status / 100 != 1) {
+      reusable = false;
+    }
+    parser.Reset();
+    ExpectBody();
+  }
+
+  void ExpectBody()
+  {
+    if (request.head.method == "HEAD") {
+      parser.ExpectNoBody();
+    }
+  }
+
+  void FinishAnswer(bool aMoreBytes)
+  {
+    HttpMessage answer = parser.Take();
+    if (const std::string* field = answer.head.fields.Find("Keep-Alive")) {
+      keepAlive = KeepAliveTimeout(*field);
+    }
+    if (aMoreBytes || writing || !answer.head.keepAlive) {
+      reusable = false;
+    }
+    Finish(ExchangeEnd::kAnswered, {}, std::move(answer));
+    if (reusable) {
+      Read();
+    } else {
+      Close();
+    }
+  }
+
+  bool abandoned = false;
+};
+
+HttpConnection::HttpConnection(asio::io_context& aContext,
+                               const ConnectionOptions& aOptions,
+                               const Clock& aClock)
+  : impl_(std::make_shared<Impl>(aContext, aOptions, aClock))
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+  impl_->abandoned = true;
+  impl_->handler = nullptr;
+  impl_->idleEnd = nullptr;
+  impl_->Close();
+}
+
+void HttpConnection::Send(OutgoingRequest aRequest, Handler aHandler)
+{
+  assert(impl_->reusable && !impl_->handler);
+  impl_->request = std::move(aRequest);
+  impl_->handler = std::move(aHandler);
+  impl_->headBytes = RequestHeadBytes(
+    impl_->request.head, impl_->request.body ? impl_->request.body->size() : 0);
+  impl_->ExpectBody();
+  if (impl_->phase == Impl::Phase::kNew) {
+    impl_->Connect();
+    return;
+  }
+  impl_->Write();
+  impl_->Read();
+}
+
+void HttpConnection::SetIdleEndHandler(std::function<void()> aHandler)
+{
+  impl_->idleEnd = std::move(aHandler);
+}
+
+bool HttpConnection::Reusable() const
+{
+  return impl_->reusable;
+}
+
+bool HttpConnection::Busy() const
+{
+  return static_cast<bool>(impl_->handler);
+}
+
+TimePoint HttpConnection::IdleSince() const
+{
+  return impl_->idleSince;
+}
+
+std::optional<Duration> HttpConnection::PeerKeepAlive() const
+{
+  return impl_->keepAlive;
+}
+
+} // namespace lacewing
--- a/src/net/HttpField.h
+++ b/src/http/HttpField.h
@@ -1,5 +1,5 @@
-#ifndef NET_HTTPFIELD_H
-#define NET_HTTPFIELD_H
+#ifndef HTTP_HTTPFIELD_H
+#define HTTP_HTTPFIELD_H
 
 #include <string>
 
@@ -14,4 +14,4 @@
 
 } // namespace lacewing
 
-#endif // NET_HTTPFIELD_H
+#endif // HTTP_HTTPFIELD_H
--- a/src/net/HttpFields.cpp
+++ b/src/http/HttpFields.cpp
@@ -1,4 +1,4 @@
-#include "net/HttpFields.h"
+#include "http/HttpFields.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/HttpFields.h
+++ b/src/http/HttpFields.h
@@ -1,7 +1,7 @@
-#ifndef NET_HTTPFIELDS_H
-#define NET_HTTPFIELDS_H
+#ifndef HTTP_HTTPFIELDS_H
+#define HTTP_HTTPFIELDS_H
 
-#include "net/HttpField.h"
+#include "http/HttpField.h"
 
 #include <algorithm>
 #include <string>
@@ -51,4 +51,4 @@
 
 } // namespace lacewing
 
-#endif // NET_HTTPFIELDS_H
+#endif // HTTP_HTTPFIELDS_H
--- /dev/null
+++ b/src/http/MessageParser.cpp
@@ -0,0 +1,281 @@
+#include "http/MessageParser.h"
+
+#include <http_parser.h>
+
+#include <string>
+#include <utility>
+
+namespace lacewing {
+
+struct MessageParser::Impl
+{
+  MessageSide side;
+  ParserLimits limits;
+  http_parser parser{};
+  HttpMessage message;
+  std::string fieldName;
+  std::string fieldValue;
+  /** The end of the last piece of a value, to notice folded lines. */
+  const char* valueEnd = nullptr;
+  bool inValue = false;
+  bool started = false;
+  bool headDone = false;
+  bool whole = false;
+  bool noBody = false;
+  std::size_t headBytes = 0;
+  ParseFailure failure = ParseFailure::kNone;
+
+  Impl(MessageSide aSide, const ParserLimits& aLimits)
+    : side(aSide)
+    , limits(aLimits)
+  {
+    Start();
+  }
+
+  void Start()
+  {
+    http_parser_init(
+      &parser, side == MessageSide::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser.data = this;
+    message = HttpMessage();
+    fieldName.clear();
+    fieldValue.clear();
+    valueEnd = nullptr;
+    inValue = false;
+    started = headDone = whole = noBody = false;
+    headBytes = 0;
+    failure = ParseFailure::kNone;
+  }
+
+  int Refuse(ParseFailure aFailure)
+  {
+    failure = aFailure;
+    return -1;
+  }
+
+  void EndField()
+  {
+    if (!fieldName.empty()) {
+      message.head.fields.Add(std::move(fieldName), std::move(fieldValue));
+    }
+    fieldName.clear();
+    fieldValue.clear();
+    inValue = false;
+    valueEnd = nullptr;
+  }
+
+  int OnTarget(const char* aBytes, std::size_t aCount)
+  {
+    message.head.target.append(aBytes, aCount);
+    return 0;
+  }
+
+  int OnFieldName(const char* aBytes, std::size_t aCount)
+  {
+    if (inValue) {
+      EndField();
+    }
+    fieldName.append(aBytes, aCount);
+    return 0;
+  }
+
+  int OnFieldValue(const char* aBytes, std::size_t aCount)
+  {
+    if (inValue && aCount > 0 && valueEnd != nullptr && aBytes != valueEnd) {
+      return Refuse(ParseFailure::kMalformed);
+    }
+    inValue = true;
+    valueEnd = aBytes + aCount;
+    fieldValue.append(aBytes, aCount);
+    return 0;
+  }
+
+  int OnHead()
+  {
+    if (inValue || !fieldName.empty()) {
+      EndField();
+    }
+    headDone = true;
+    HttpHead& head = message.head;
+    head.keepAlive = http_should_keep_alive(&parser) != 0;
+    if (side == MessageSide::kRequest) {
+      head.method = http_method_str(static_cast<http_method>(parser.method));
+      if (parser.method == HTTP_CONNECT) {
+        return Refuse(ParseFailure::kMalformed);
+      }
+    } else {
+      head.status = parser.status_code;
+      if (head.status == 101) {
+        return Refuse(ParseFailure::kMalformed);
+      }
+    }
+    const bool sized = (parser.flags & F_CONTENTLENGTH) != 0;
+    if (sized && !noBody && parser.content_length > limits.maxBody.value()) {
+      return Refuse(ParseFailure::kBodyTooLarge);
+    }
+    if (sized && !noBody) {
+      message.body.reserve(parser.content_length);
+    }
+    return noBody ? 1 : 0;
+  }
+
+  int OnBody(const char* aBytes, std::size_t aCount)
+  {
+    if (message.body.size() + aCount > limits.maxBody.value()) {
+      return Refuse(ParseFailure::kBodyTooLarge);
+    }
+    message.body.append(aBytes, aCount);
+    return 0;
+  }
+
+  int OnWhole()
+  {
+    whole = true;
+    http_parser_pause(&parser, 1);
+    return 0;
+  }
+
+  void Execute(const char* aBytes, std::size_t aCount, std::size_t& aTaken);
+};
+
+namespace {
+
+template<class Impl>
+Impl& Self(http_parser* aParser)
+{
+  return *static_cast<Impl*>(aParser->data);
+}
+
+template<class Impl, int (Impl::*kMethod)()>
+int Notify(http_parser* aParser)
+{
+  return (Self<Impl>(aParser).*kMethod)();
+}
+
+template<class Impl, int (Impl::*kMethod)(const char*, std::size_t)>
+int Data(http_parser* aParser, const char* aBytes, std::size_t aCount)
+{
+  return (Self<Impl>(aParser).*kMethod)(aBytes, aCount);
+}
+
+template<class Impl>
+http_parser_settings MakeCallbacks()
+{
+  http_parser_settings callbacks;
+  http_parser_settings_init(&callbacks);
+  callbacks.on_url = &Data<Impl, &Impl::OnTarget>;
+  callbacks.on_header_field = &Data<Impl, &Impl::OnFieldName>;
+  callbacks.on_header_value = &Data<Impl, &Impl::OnFieldValue>;
+  callbacks.on_headers_complete = &Notify<Impl, &Impl::OnHead>;
+  callbacks.on_body = &Data<Impl, &Impl::OnBody>;
+  callbacks.on_message_complete = &Notify<Impl, &Impl::OnWhole>;
+  return callbacks;
+}
+
+} // namespace
+
+void MessageParser::Impl::Execute(const char* aBytes,
+                                  std::size_t aCount,
+                                  std::size_t& aTaken)
+{
+  static const http_parser_settings kCallbacks = MakeCallbacks<Impl>();
+  // A value that goes on in the next buffer starts at its first byte.
+  valueEnd = inValue ? aBytes : nullptr;
+  aTaken = http_parser_execute(&parser, &kCallbacks, aBytes, aCount);
+  const auto error = HTTP_PARSER_ERRNO(&parser);
+  if (!whole && error != HPE_OK && failure == ParseFailure::kNone) {
+    failure = error == HPE_HEADER_OVERFLOW ? ParseFailure::kHeadTooLarge
+                                           : ParseFailure::kMalformed;
+  }
+}
+
+MessageParser::MessageParser(MessageSide aSide, const ParserLimits& aLimits)
+  : impl_(std::make_unique<Impl>(aSide, aLimits))
+{
+}
+
+MessageParser::~MessageParser() = default;
+
+std::size_t MessageParser::Feed(std::string_view aBytes)
+{
+  if (impl_->whole || impl_->failure != ParseFailure::kNone || aBytes.empty()) {
+    return 0;
+  }
+  impl_->started = true;
+  const bool inHead = !impl_->headDone;
+  std::size_t taken = 0;
+  impl_->Execute(aBytes.data(), aBytes.size(), taken);
+  if (inHead) {
+    impl_->headBytes += taken - impl_->message.body.size();
+    if (impl_->headBytes > impl_->limits.maxHead.value()) {
+      impl_->failure = ParseFailure::kHeadTooLarge;
+    }
+  }
+  return taken;
+}
+
+void MessageParser::FeedEnd()
+{
+  if (impl_->whole || !impl_->started) {
+    return;
+  }
+  std::size_t taken = 0;
+  impl_->Execute(nullptr, 0, taken);
+  if (!impl_->whole && impl_->failure == ParseFailure::kNone) {
+    impl_->failure = ParseFailure::kMalformed;
+  }
+}
+
+bool MessageParser::Started() const
+{
+  return impl_->started;
+}
+
+bool MessageParser::HeadDone() const
+{
+  return impl_->headDone;
+}
+
+bool MessageParser::Whole() const
+{
+  return impl_->whole && impl_->failure == ParseFailure::kNone;
+}
+
+ParseFailure MessageParser::Failure() const
+{
+  return impl_->failure;
+}
+
+const HttpHead& MessageParser::Head() const
+{
+  return impl_->message.head;
+}
+
+std::size_t MessageParser::BodySize() const
+{
+  return impl_->message.body.size();
+}
+
+HttpMessage MessageParser::Take()
+{
+  HttpMessage message = std::move(impl_->message);
+  impl_->Start();
+  return message;
+}
+
+void MessageParser::Reset()
+{
+  impl_->Start();
+}
+
+void MessageParser::ExpectNoBody()
+{
+  impl_->noBody = true;
+}
+
+void MessageParser::SetLimits(const ParserLimits& aLimits)
+{
+  impl_->limits = aLimits;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/http/ParseFailure.h
@@ -0,0 +1,17 @@
+#ifndef HTTP_PARSEFAILURE_H
+#define HTTP_PARSEFAILURE_H
+
+namespace lacewing {
+
+/** Why a message cannot be read. */
+enum class ParseFailure
+{
+  kNone,
+  kMalformed,
+  kHeadTooLarge,
+  kBodyTooLarge,
+};
+
+} // namespace lacewing
+
+#endif // HTTP_PARSEFAILURE_H
--- a/src/net/HttpCall.h
+++ b/src/net/HttpCall.h
@@ -1,9 +1,9 @@
 #ifndef NET_HTTPCALL_H
 #define NET_HTTPCALL_H
 
+#include "http/HttpFields.h"
 #include "lacewing/ByteCount.h"
 #include "lacewing/Endpoint.h"
-#include "net/HttpFields.h"
 
 #include <chrono>
 #include <functional>
--- a/src/net/HttpRequest.h
+++ b/src/net/HttpRequest.h
@@ -1,7 +1,7 @@
 #ifndef NET_HTTPREQUEST_H
 #define NET_HTTPREQUEST_H
 
-#include "net/HttpFields.h"
+#include "http/HttpFields.h"
 
 #include <string>
 
--- a/src/net/HttpResponse.h
+++ b/src/net/HttpResponse.h
@@ -1,7 +1,7 @@
 #ifndef NET_HTTPRESPONSE_H
 #define NET_HTTPRESPONSE_H
 
-#include "net/HttpFields.h"
+#include "http/HttpFields.h"
 
 #include <string>
 
