Ask targets for their load right before each choice

Noise shifts about every 300 ms and a request keeps the speed it starts with. Ruled out: collisions of hosts (busy 0 and 1 were alike) and noise that begins during the work. Change: TargetScout asks two, then three more targets over the connection that then carries the request; owners' readings only rank them. Beats between zones carry no readings and go out each 500 ms.

--- a/src/balance/LoadReading.h
+++ b/src/balance/LoadReading.h
@@ -8,7 +8,7 @@
 
 namespace lacewing {
 
-/** One measurement of a target by its owner. */
+/** What is known of a target's health and load. */
 struct LoadReading
 {
   TargetId target;
@@ -16,8 +16,10 @@
   TargetLoad load;
   /** How much longer the target is cold; zero when it is warm. */
   Duration coldLeft{ 0 };
-  /** On this host's clock, late by at most the time the message took. */
+  /** When the load was told, on this host's clock. */
   TimePoint measuredAt;
+  /** When state and coldLeft were told; only probes tell them. */
+  TimePoint probedAt;
 };
 
 } // namespace lacewing
--- a/src/balance/LocalView.cpp
+++ b/src/balance/LocalView.cpp
@@ -37,11 +37,13 @@
 
 void LocalView::OnLoad(TimePoint aNow, const TargetLoad& aLoad)
 {
-  LoadReading reading;
-  reading.state = ReadingState::kServing;
-  reading.load = aLoad;
-  reading.measuredAt = aNow;
-  own_ = reading;
+  own_.load = aLoad;
+  own_.measuredAt = aNow;
+}
+
+void LocalView::OnProbe(const LoadReading& aReading)
+{
+  own_ = aReading;
 }
 
 void LocalView::OnTrouble(TimePoint aNow)
@@ -68,13 +70,19 @@
 
 std::optional<LoadReading> LocalView::Newest(const LoadReading* aShared) const
 {
-  if (aShared == nullptr) {
-    return own_;
+  const TimePoint never;
+  LoadReading reading = aShared == nullptr ? LoadReading() : *aShared;
+  if (own_.measuredAt > reading.measuredAt) {
+    reading.load = own_.load;
+    reading.measuredAt = own_.measuredAt;
+  }
+  if (own_.probedAt > reading.probedAt) {
+    reading.state = own_.state;
+    reading.coldLeft = own_.coldLeft;
+    reading.probedAt = own_.probedAt;
   }
-  LoadReading reading = *aShared;
-  if (own_ && own_->measuredAt > reading.measuredAt) {
-    reading.load = own_->load;
-    reading.measuredAt = own_->measuredAt;
+  if (reading.measuredAt == never && reading.probedAt == never) {
+    return std::nullopt;
   }
   return reading;
 }
--- a/src/balance/LocalView.h
+++ b/src/balance/LocalView.h
@@ -22,6 +22,9 @@
   /** An answer told the load. */
   void OnLoad(TimePoint aNow, const TargetLoad& aLoad);
 
+  /** This host probed the target itself. */
+  void OnProbe(const LoadReading& aReading);
+
   /** A connection failed; the target may have started anew, cold. */
   void OnTrouble(TimePoint aNow);
 
@@ -35,7 +38,7 @@
   /** Recent failures as a share of a decaying count, 0 to 1. */
   double FailureShare(TimePoint aNow) const;
 
-  /** The newer of aShared and the load of the last answer. */
+  /** The newest health and load out of aShared and what was seen here. */
   std::optional<LoadReading> Newest(const LoadReading* aShared) const;
 
   /** Requests sent after aTime, for readings that cannot show them. */
@@ -46,7 +49,7 @@
   TimePoint troubleAt_;
   DecayingValue failures_;
   DecayingValue successes_;
-  std::optional<LoadReading> own_;
+  LoadReading own_;
   /** Times of recent sendings, the newest last. */
   std::deque<TimePoint> sent_;
 };
--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -1,20 +1,22 @@
 #include "balance/TargetChooser.h"
 
+#include "balance/Eligibility.h"
+
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <utility>
 
 namespace lacewing {
 
 namespace {
 
-// A reading is repeated several times a second; two seconds without one mean
-// that its owner, or this host, was cut off or paused.
-constexpr Duration kReadingFresh = std::chrono::seconds(2);
 // The span over which neighbours' load on a target's machine changes.
 constexpr double kSlowdownMemorySeconds = 0.3;
 // Share of a slowdown that is expected to stay for the whole request.
 constexpr double kSlowdownKept = 0.6;
+// A target in a cold start works at about half its speed.
+constexpr double kColdFactor = 2;
 // Targets work slower when nearly full.
 constexpr double kNearlyFull = 0.8;
 constexpr double kNearlyFullFactor = 1.7;
@@ -37,16 +39,6 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-bool MayGet(const Candidate& aCandidate, TimePoint aNow, bool aWarm)
-{
-  if (aWarm) {
-    return true;
-  }
-  const unsigned quota = aCandidate.target->coldQuota;
-  return quota > 0 && aCandidate.local->SentSince(
-                        aNow - std::chrono::milliseconds(1050)) < quota;
-}
-
 /** Requests there, with those sent since the reading. */
 unsigned BusyAt(const Candidate& aCandidate, const LoadReading& aReading)
 {
@@ -63,16 +55,15 @@
   return std::max(1 + (slowdown - 1) * kept, 0.2);
 }
 
-Choice Estimate(const ChoiceContext& aContext,
-                const Candidate& aCandidate,
-                bool aWarm)
+Choice Estimate(const ChoiceContext& aContext, const Candidate& aCandidate)
 {
+  const bool warm = IsWarm(aCandidate, aContext.now);
   const auto reading = aCandidate.local->Newest(aCandidate.reading);
   const double slots =
     std::max<double>(1, aCandidate.target->spec.slots.value());
   const double work = Seconds(aContext.usualWork);
   Choice choice;
-  choice.cold = !aWarm;
+  choice.cold = !warm;
   double factor = 1;
   choice.busy = aCandidate.local->InFlight();
   double penalty = 0;
@@ -98,8 +89,7 @@
   }
   // Load within the slots matters little but breaks ties towards idle ones.
   penalty += 0.1 * work * std::min(1.0, busy / slots);
-  // A cold target works at about half its speed.
-  const double speed = aWarm ? 1 : 2;
+  const double speed = warm ? 1 : kColdFactor;
   choice.expected = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(work * factor * speed + penalty));
   return choice;
@@ -113,55 +103,43 @@
   {
   }
 
-  std::optional<Choice> Choose(
-    const ChoiceContext& aContext,
-    const std::vector<Candidate>& aCandidates) override
+  std::vector<Choice> Rank(const ChoiceContext& aContext,
+                           const std::vector<Candidate>& aCandidates) override
   {
-    choices_.clear();
+    std::uniform_real_distribution<double> alike(1, 1 + kAlike);
+    std::vector<std::pair<double, Choice>> ranked;
     for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-      const bool warm = IsWarm(aCandidates[i], aContext.now);
-      if (MayGet(aCandidates[i], aContext.now, warm)) {
-        choices_.push_back(Estimate(aContext, aCandidates[i], warm));
-        choices_.back().index = i;
+      if (EligibilityOf(aCandidates[i], aContext.now) == Eligibility::kNo) {
+        continue;
       }
+      Choice choice = Estimate(aContext, aCandidates[i]);
+      choice.index = i;
+      ranked.emplace_back(Seconds(choice.expected) * alike(random_), choice);
     }
-    if (choices_.empty()) {
-      return std::nullopt;
-    }
-    const auto earliest =
-      std::min_element(choices_.begin(),
-                       choices_.end(),
-                       [](const Choice& aLeft, const Choice& aRight) {
-                         return aLeft.expected < aRight.expected;
-                       });
-    const double most = Seconds(earliest->expected) * (1 + kAlike);
-    alike_.clear();
-    for (const Choice& choice : choices_) {
-      if (Seconds(choice.expected) <= most) {
-        alike_.push_back(&choice);
-      }
+    std::sort(
+      ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.first < aRight.first;
+      });
+    std::vector<Choice> choices;
+    choices.reserve(ranked.size());
+    for (const auto& [order, choice] : ranked) {
+      choices.push_back(choice);
     }
-    std::uniform_int_distribution<std::size_t> pick(0, alike_.size() - 1);
-    return *alike_[pick(random_)];
+    return choices;
+  }
+
+  Choice Judge(const ChoiceContext& aContext,
+               const Candidate& aCandidate) const override
+  {
+    return Estimate(aContext, aCandidate);
   }
 
 private:
   std::minstd_rand random_;
-  std::vector<Choice> choices_;
-  std::vector<const Choice*> alike_;
 };
 
 } // namespace
 
-bool IsWarm(const Candidate& aCandidate, TimePoint aNow)
-{
-  const LoadReading* reading = aCandidate.reading;
-  return reading != nullptr && reading->measuredAt + kReadingFresh > aNow &&
-         reading->measuredAt > aCandidate.local->TroubleAt() &&
-         reading->state != ReadingState::kSilent &&
-         reading->coldLeft <= Duration(0);
-}
-
 std::unique_ptr<TargetChooser> MakeEarliestAnswerChooser(std::uint64_t aSeed)
 {
   return std::make_unique<EarliestAnswerChooser>(aSeed);
--- a/src/balance/TargetChooser.h
+++ b/src/balance/TargetChooser.h
@@ -7,32 +7,34 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace lacewing {
 
-/** Chooses the target of a request; a strategy without state of its own. */
+/** Judges the targets that a request may go to. */
 class TargetChooser
 {
 public:
   virtual ~TargetChooser() = default;
 
-  /** Empty when no candidate may get the request now. */
-  virtual std::optional<Choice> Choose(
+  /**
+   * The candidates that may get the request or need a probe, the best first;
+   * those that are about as good are in random order.
+   */
+  virtual std::vector<Choice> Rank(
     const ChoiceContext& aContext,
     const std::vector<Candidate>& aCandidates) = 0;
+
+  /** One candidate by what is known of it now. */
+  virtual Choice Judge(const ChoiceContext& aContext,
+                       const Candidate& aCandidate) const = 0;
 };
 
 /**
- * Takes the target with the earliest expected answer, at random among those
- * that are about as early. aSeed makes choices repeatable.
+ * Ranks by the expected time of the answer. aSeed makes choices repeatable.
  */
 std::unique_ptr<TargetChooser> MakeEarliestAnswerChooser(std::uint64_t aSeed);
 
-/** Whether a target has been confirmed to bear its normal share. */
-bool IsWarm(const Candidate& aCandidate, TimePoint aNow);
-
 } // namespace lacewing
 
 #endif // BALANCE_TARGETCHOOSER_H
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -22,10 +22,13 @@
 
 namespace {
 
-// Probes and beats inside a zone; neighbours' load changes about every 300 ms.
+// The control thread's step.
 constexpr Duration kTick = std::chrono::milliseconds(100);
-// Beats between zones go out each second tick: those bytes are priced.
-constexpr unsigned kFarBeatTicks = 2;
+// Targets are probed on one step and told to the zone on the next: readings
+// only say where to look, since each choice asks the targets themselves.
+constexpr unsigned kProbeTicks = 2;
+// Beats between zones carry no readings and are rare: those bytes are priced.
+constexpr unsigned kFarBeatTicks = 5;
 // A starting host waits this long for peers before it asks the store itself.
 constexpr Duration kSettle = std::chrono::milliseconds(400);
 // Hosts that watch the store at the same time, so that one may fail.
@@ -269,20 +272,37 @@
     return datagrams;
   }
 
-  void Broadcast(bool aFarToo)
+  /** Readings go to the hosts of the zone. */
+  void BeatZone()
   {
     const std::vector<std::string> datagrams = EncodeReadings();
     for (const Peer* peer : peers.Known()) {
-      if (!aFarToo && peer->address.zone != identity.self.zone) {
-        continue;
+      if (peer->address.zone == identity.self.zone) {
+        for (const std::string& datagram : datagrams) {
+          ++beatsSent;
+          socket->Send(peer->address.ToEndpoint(), datagram);
+        }
       }
-      for (const std::string& datagram : datagrams) {
+    }
+  }
+
+  void BeatFar()
+  {
+    const std::string datagram = EncodeBeat(MakeBeat(false));
+    for (const Peer* peer : peers.Known()) {
+      if (peer->address.zone != identity.self.zone) {
         ++beatsSent;
         socket->Send(peer->address.ToEndpoint(), datagram);
       }
     }
   }
 
+  void BeatAll()
+  {
+    BeatZone();
+    BeatFar();
+  }
+
   void OnDatagram(std::string_view aBytes)
   {
     const auto decoded = DecodeBeat(aBytes);
@@ -411,9 +431,9 @@
     if (aChanged) {
       view.Update(replica);
       Rebuild();
-      Broadcast(true);
+      BeatAll();
     } else if (Revisions() != aBefore) {
-      Broadcast(false);
+      BeatZone();
     }
   }
 
@@ -426,7 +446,7 @@
     if (!aReachable) {
       distrustUntil = clock.Now() + kStoreDistrust;
     }
-    Broadcast(true);
+    BeatAll();
     Elect();
   }
 
@@ -570,7 +590,7 @@
                   aReading.coldLeft)
                   .count()) } });
       if (!first) {
-        Broadcast(true);
+        BeatZone();
       }
     }
   }
@@ -599,8 +619,14 @@
     }
     OnMembership();
     CatchUp();
-    prober.ProbeAll();
-    Broadcast(ticks % kFarBeatTicks == 0);
+    if (ticks % kProbeTicks == 0) {
+      prober.ProbeAll();
+    } else {
+      BeatZone();
+    }
+    if (ticks % kFarBeatTicks == 0) {
+      BeatFar();
+    }
     if (forgottenAt + kForgetPeriod < now) {
       forgottenAt = now;
       peers.Forget(now);
@@ -649,7 +675,7 @@
 {
   impl_->leaving = true;
   impl_->OnMembership();
-  impl_->Broadcast(true);
+  impl_->BeatAll();
 }
 
 void FleetControl::SetColdTerms(const ColdTerms& aTerms)
--- a/src/fleet/PeerTable.cpp
+++ b/src/fleet/PeerTable.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-// Three to seven beats; a host that is only slow is not given up at once.
-constexpr Duration kPeerSilence = std::chrono::milliseconds(700);
+// Three beats and more; a host that is only slow is not given up at once.
+constexpr Duration kZoneSilence = std::chrono::milliseconds(700);
+constexpr Duration kFarSilence = std::chrono::milliseconds(1700);
 // Cuts of machines last seconds; a host silent for longer is taken as stopped.
 constexpr Duration kMayRunBehindCut = std::chrono::seconds(30);
 // Beats still go to silent hosts for this long, so that both ends of a healed
@@ -54,7 +55,9 @@
 
 bool PeerTable::IsAlive(const Peer& aPeer, TimePoint aNow) const
 {
-  return aPeer.heardAt && *aPeer.heardAt + kPeerSilence > aNow;
+  const Duration silence =
+    aPeer.address.zone == self_.zone ? kZoneSilence : kFarSilence;
+  return aPeer.heardAt && *aPeer.heardAt + silence > aNow;
 }
 
 std::vector<const Peer*> PeerTable::Alive(TimePoint aNow) const
--- a/src/fleet/Prober.cpp
+++ b/src/fleet/Prober.cpp
@@ -1,8 +1,8 @@
 #include "fleet/Prober.h"
 
+#include "gateway/ProbeReading.h"
 #include "http/HttpCaller.h"
 
-#include <charconv>
 #include <map>
 #include <string>
 #include <utility>
@@ -15,16 +15,6 @@
 // would hold a request up as well.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 
-Duration ReadColdLeft(const std::string* aField)
-{
-  std::int64_t milliseconds = 0;
-  if (aField != nullptr) {
-    std::from_chars(
-      aField->data(), aField->data() + aField->size(), milliseconds);
-  }
-  return std::chrono::milliseconds(milliseconds);
-}
-
 } // namespace
 
 struct Prober::Impl
@@ -55,33 +45,14 @@
     }
     ++probes;
     HttpMessage request;
-    request.head.method = "GET";
-    request.head.target = aEntry.target.healthPath;
-    aEntry.caller->Call(std::move(request),
-                        kProbeTimeout,
-                        [this, id = aEntry.target.spec.id](
-                          ExchangeResult aResult) { OnAnswer(id, aResult); });
-  }
-
-  void OnAnswer(const TargetId& aTarget, const ExchangeResult& aResult)
-  {
-    LoadReading reading;
-    reading.target = aTarget;
-    reading.measuredAt = clock.Now();
-    const HttpFields& fields = aResult.answer.head.fields;
-    const std::string* id = fields.Find(names.targetId);
-    const bool another = id != nullptr && *id != aTarget.value();
-    if (aResult.end == ExchangeEnd::kAnswered && !another) {
-      reading.state = aResult.answer.head.status == 200
-                        ? ReadingState::kServing
-                        : ReadingState::kRefusing;
-      const std::string* load = fields.Find(names.load);
-      if (load != nullptr && names.parseLoad != nullptr) {
-        reading.load = names.parseLoad(*load).value_or(TargetLoad());
-      }
-      reading.coldLeft = ReadColdLeft(fields.Find(names.coldLeft));
-    }
-    handler(reading);
+    request.head =
+      ProbeHead(aEntry.target.healthPath, aEntry.target.spec.endpoint);
+    aEntry.caller->Call(
+      std::move(request),
+      kProbeTimeout,
+      [this, id = aEntry.target.spec.id](const ExchangeResult& aResult) {
+        handler(ReadProbe(aResult, names, id, clock.Now()));
+      });
   }
 };
 
--- a/src/fleet/WireReading.cpp
+++ b/src/fleet/WireReading.cpp
@@ -28,6 +28,7 @@
   reading.load = { running, waiting, slots, slowdownPercent };
   reading.coldLeft = coldLeft;
   reading.measuredAt = aNow - std::max(age, Duration(0));
+  reading.probedAt = reading.measuredAt;
   return reading;
 }
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -46,6 +46,7 @@
             : std::make_shared<const std::string>(std::move(aRequest.body)))
   , handler_(std::move(aHandler))
   , startedAt_(aState.Now())
+  , scout_(aState)
   , deadlineTimer_(aState.Context())
   , stepTimer_(aState.Context())
 {
@@ -90,7 +91,7 @@
   service_ = state_.SplitOf(route_->name).Next(route_->shares);
   state_.RepeatsOf(service_).CountRequest(startedAt_);
   ArmDeadline();
-  if (!TrySend()) {
+  if (!Seek()) {
     WaitForRoom();
   }
 }
@@ -131,7 +132,8 @@
 
 void Exchange::OnHedge(bool aLast)
 {
-  if (attempts_.size() != 1 || sent_ >= route_->maxAttempts) {
+  if (attempts_.size() != 1 || scout_.Searching() ||
+      sent_ >= route_->maxAttempts) {
     return;
   }
   const Duration work = state_.LearningOf(*route_).UsualWork();
@@ -150,48 +152,38 @@
     ++state_.Counters().repeatsDenied;
     return;
   }
-  if (TrySend()) {
+  if (Seek()) {
     ++state_.Counters().hedges;
   }
 }
 
-std::vector<Candidate> Exchange::Candidates(const FleetSnapshot& aFleet,
-                                            const LoadSnapshot& aLoad)
+bool Exchange::Seek()
 {
-  std::vector<Candidate> candidates;
-  const auto targets = aFleet.targets.find(service_);
-  if (targets == aFleet.targets.end()) {
-    return candidates;
-  }
-  candidates.reserve(targets->second.size());
-  for (const FleetTarget& target : targets->second) {
-    if (tried_.count(target.spec.id) != 0) {
-      continue;
-    }
-    candidates.push_back({ &target,
-                           aLoad.Find(target.spec.id),
-                           &state_.ViewOf(target.spec.id),
-                           state_.Pool().HasFree(target.spec) });
-  }
-  return candidates;
-}
-
-bool Exchange::TrySend()
-{
-  const auto fleet = state_.Fleet();
-  const auto load = state_.Load();
-  const std::vector<Candidate> candidates = Candidates(*fleet, *load);
   const RouteLearning& learning = state_.LearningOf(*route_);
   ChoiceContext context;
   context.now = state_.Now();
   context.usualWork = learning.UsualWork();
   context.bytes = ByteCount(body_ ? body_->size() : 0) + learning.AnswerBytes();
-  const auto choice = state_.Chooser().Choose(context, candidates);
-  if (!choice) {
-    return false;
+  return scout_.Find(
+    service_, context, tried_, [this](std::optional<FoundTarget> aFound) {
+      OnFound(std::move(aFound));
+    });
+}
+
+void Exchange::OnFound(std::optional<FoundTarget> aFound)
+{
+  if (done_) {
+    return;
+  }
+  if (aFound) {
+    Send(std::move(*aFound));
+  } else if (attempts_.empty()) {
+    if (tries_ == 0) {
+      WaitForRoom();
+    } else {
+      Conclude();
+    }
   }
-  Send(*candidates[choice->index].target, *choice);
-  return true;
 }
 
 HttpHead Exchange::RequestHead(const TargetSpec& aTarget) const
@@ -206,21 +198,21 @@
   return head;
 }
 
-void Exchange::Send(const FleetTarget& aTarget, const Choice& aChoice)
+void Exchange::Send(FoundTarget aTarget)
 {
   Attempt attempt;
   attempt.id = ++nextAttempt_;
-  attempt.target = aTarget.spec;
-  attempt.choice = aChoice;
+  attempt.target = std::move(aTarget.spec);
+  attempt.choice = aTarget.choice;
   attempt.sentAt = state_.Now();
-  attempt.connection = state_.Pool().Take(aTarget.spec);
-  tried_.insert(aTarget.spec.id);
+  attempt.connection = std::move(aTarget.connection);
+  tried_.insert(attempt.target.id);
   ++tries_;
   ++sent_;
   ++state_.Counters().attempts;
-  state_.ViewOf(aTarget.spec.id).OnSent(attempt.sentAt);
+  state_.ViewOf(attempt.target.id).OnSent(attempt.sentAt);
   OutgoingRequest request;
-  request.head = RequestHead(aTarget.spec);
+  request.head = RequestHead(attempt.target);
   request.body = body_;
   request.isOurs = [&names = state_.Names(), id = id_](const HttpHead& aHead) {
     return BelongsTo(aHead, names, id);
@@ -285,9 +277,7 @@
   const AttemptEnd end = Classify(aResult, state_.Names());
   Learn(attempt, end, aResult);
   state_.Pool().Put(attempt.target, std::move(attempt.connection));
-  if (end != AttemptEnd::kSuccess) {
-    LogAttempt(attempt, end, aResult);
-  }
+  LogAttempt(attempt, end, aResult);
   if (end == AttemptEnd::kNotSent) {
     --sent_;
   }
@@ -300,17 +290,18 @@
     Finish(std::move(aResult.answer), "success");
     return;
   }
-  if (TryRepeat(end) || !attempts_.empty()) {
-    return;
+  lastEnd_ = end;
+  lastAnswer_ = std::move(aResult.answer);
+  if (!TryRepeat(end) && attempts_.empty() && !scout_.Searching()) {
+    Conclude();
   }
-  Conclude(end, std::move(aResult));
 }
 
 bool Exchange::TryRepeat(AttemptEnd aEnd)
 {
-  if (abandoned_ || !MayRepeat(route_->requestClass, aEnd) ||
-      sent_ >= route_->maxAttempts || tries_ >= kMaxTries ||
-      state_.Now() >= deadline_) {
+  if (abandoned_ || scout_.Searching() ||
+      !MayRepeat(route_->requestClass, aEnd) || sent_ >= route_->maxAttempts ||
+      tries_ >= kMaxTries || state_.Now() >= deadline_) {
     return false;
   }
   const auto fleet = state_.Fleet();
@@ -319,7 +310,7 @@
     ++state_.Counters().repeatsDenied;
     return false;
   }
-  if (!TrySend()) {
+  if (!Seek()) {
     return false;
   }
   ++state_.Counters().repeats;
@@ -337,17 +328,17 @@
   stepTimer_.async_wait(
     [self = weak_from_this()](const asio::error_code& aError) {
       const auto exchange = self.lock();
-      if (!aError && exchange && !exchange->done_ && !exchange->TrySend()) {
+      if (!aError && exchange && !exchange->done_ && !exchange->Seek()) {
         exchange->FinishOwn(OwnAnswerKind::kRefused);
       }
     });
 }
 
-void Exchange::Conclude(AttemptEnd aEnd, ExchangeResult aResult)
+void Exchange::Conclude()
 {
-  if (aEnd == AttemptEnd::kTargetFailure && MayPassOn(aResult.answer.head)) {
+  if (lastEnd_ == AttemptEnd::kTargetFailure && MayPassOn(lastAnswer_.head)) {
     ++state_.Counters().targetFailures;
-    Finish(std::move(aResult.answer), "target-failure");
+    Finish(std::move(lastAnswer_), "target-failure");
     return;
   }
   FinishOwn(mayHaveRun_ ? OwnAnswerKind::kOutcomeUnknown
@@ -432,6 +423,8 @@
                           AttemptEnd aEnd,
                           const ExchangeResult& aResult) const
 {
+  const std::string* load =
+    aResult.answer.head.fields.Find(state_.Names().load);
   Log(LogLevel::kInfo,
       "attempt",
       { { "request", id_ },
@@ -443,7 +436,9 @@
         { "busy", std::to_string(aAttempt.choice.busy) },
         { "slowdown", std::to_string(aAttempt.choice.slowdownPercent) },
         { "reading_age_ms", Milliseconds(aAttempt.choice.readingAge) },
-        { "cold", aAttempt.choice.cold ? "1" : "0" } });
+        { "expected_ms", Milliseconds(aAttempt.choice.expected) },
+        { "cold", aAttempt.choice.cold ? "1" : "0" },
+        { "load", load == nullptr ? "" : *load } });
 }
 
 void Exchange::LogEnd(unsigned aStatus, const char* aOutcome) const
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -4,6 +4,7 @@
 #include "balance/AttemptEnd.h"
 #include "gateway/Attempt.h"
 #include "gateway/OwnAnswer.h"
+#include "gateway/TargetScout.h"
 #include "gateway/TrafficState.h"
 #include "http/HttpMessage.h"
 
@@ -45,11 +46,10 @@
   void OnHedge(bool aLast);
   bool LooksStuck(const Attempt& aAttempt) const;
 
-  /** Sends to a further target; false when none may get it. */
-  bool TrySend();
-  std::vector<Candidate> Candidates(const FleetSnapshot& aFleet,
-                                    const LoadSnapshot& aLoad);
-  void Send(const FleetTarget& aTarget, const Choice& aChoice);
+  /** Looks for a further target; false when there is none to ask. */
+  bool Seek();
+  void OnFound(std::optional<FoundTarget> aFound);
+  void Send(FoundTarget aTarget);
   HttpHead RequestHead(const TargetSpec& aTarget) const;
 
   void OnEnded(AttemptId aAttempt, ExchangeResult aResult);
@@ -58,7 +58,8 @@
              const ExchangeResult& aResult);
   bool TryRepeat(AttemptEnd aEnd);
   void WaitForRoom();
-  void Conclude(AttemptEnd aEnd, ExchangeResult aResult);
+  /** Ends the request when nothing more can come of it. */
+  void Conclude();
   void FinishOwn(OwnAnswerKind aKind);
   void Finish(HttpMessage aAnswer, const char* aOutcome);
   void CancelAttempts();
@@ -85,7 +86,11 @@
   unsigned tries_ = 0;
   /** An attempt ended without proof that it did not run. */
   bool mayHaveRun_ = false;
+  /** How the last attempt ended; none when none was sent. */
+  AttemptEnd lastEnd_ = AttemptEnd::kNotSent;
+  HttpMessage lastAnswer_;
   AttemptId nextAttempt_;
+  TargetScout scout_;
   asio::steady_timer deadlineTimer_;
   asio::steady_timer stepTimer_;
   bool waited_ = false;
--- a/src/gateway/GatewayCounters.h
+++ b/src/gateway/GatewayCounters.h
@@ -24,11 +24,12 @@
   std::uint64_t noRoute = 0;
   std::uint64_t badRequests = 0;
   std::uint64_t callersGone = 0;
+  /** Questions to targets right before a choice. */
+  std::uint64_t probes = 0;
   std::uint64_t attempts = 0;
   std::uint64_t repeats = 0;
   std::uint64_t hedges = 0;
   std::uint64_t repeatsDenied = 0;
-  std::uint64_t connects = 0;
   LatencyHistogram latency;
 };
 
--- /dev/null
+++ b/src/gateway/ProbeReading.cpp
@@ -0,0 +1,64 @@
+#include "gateway/ProbeReading.h"
+
+#include <charconv>
+
+namespace lacewing {
+
+namespace {
+
+constexpr unsigned kHealthy = 200;
+
+Duration ReadColdLeft(const std::string* aField)
+{
+  std::int64_t milliseconds = 0;
+  if (aField != nullptr) {
+    std::from_chars(
+      aField->data(), aField->data() + aField->size(), milliseconds);
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
+LoadReading ReadProbe(const ExchangeResult& aResult,
+                      const HeaderNames& aNames,
+                      const TargetId& aTarget,
+                      TimePoint aNow)
+{
+  LoadReading reading;
+  reading.target = aTarget;
+  reading.measuredAt = aNow;
+  reading.probedAt = aNow;
+  const HttpFields& fields = aResult.answer.head.fields;
+  const std::string* id = fields.Find(aNames.targetId);
+  const bool another = id != nullptr && *id != aTarget.value();
+  if (aResult.end != ExchangeEnd::kAnswered || another) {
+    return reading;
+  }
+  reading.state = aResult.answer.head.status == kHealthy
+                    ? ReadingState::kServing
+                    : ReadingState::kRefusing;
+  const std::string* load = fields.Find(aNames.load);
+  if (load != nullptr && aNames.parseLoad != nullptr) {
+    reading.load = aNames.parseLoad(*load).value_or(TargetLoad());
+  }
+  reading.coldLeft = ReadColdLeft(fields.Find(aNames.coldLeft));
+  return reading;
+}
+
+HttpHead ProbeHead(const std::string& aHealthPath, const Endpoint& aTarget)
+{
+  HttpHead head;
+  head.method = "GET";
+  head.target = aHealthPath;
+  head.fields.Add("Host", aTarget.ToString());
+  return head;
+}
+
+bool BelongsToProbe(const HttpHead& aAnswer, const HeaderNames& aNames)
+{
+  return aAnswer.fields.Find(aNames.requestId) == nullptr &&
+         aAnswer.fields.Find(aNames.signature) == nullptr;
+}
+
+} // namespace lacewing
--- a/src/host/GatewayMetrics.cpp
+++ b/src/host/GatewayMetrics.cpp
@@ -58,9 +58,9 @@
   { "lacewing_repeats_denied_total",
     "Repeats that the budget did not allow.",
     &GatewayCounters::repeatsDenied },
-  { "lacewing_connects_total",
-    "Connections to targets.",
-    &GatewayCounters::connects },
+  { "lacewing_choice_probes_total",
+    "Questions to targets right before a choice.",
+    &GatewayCounters::probes },
 } };
 
 } // namespace
