--- a/src/fleet/CatalogSource.h
+++ b/src/fleet/CatalogSource.h
@@ -39,6 +39,9 @@
    */
   virtual void Follow(bool aOn, const std::vector<Revision>& aKnown) = 0;
 
+  /** Peers are at these revisions; a watch that stays behind has failed. */
+  virtual void NoteRevisions(const std::vector<Revision>& aRevisions) = 0;
+
   /** Writes where this host is found; a repeat changes nothing. */
   virtual void RegisterHost(const PeerAddress& aSelf, DoneHandler aHandler) = 0;
 
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -2,6 +2,7 @@
 
 #include "balance/ColdQuota.h"
 #include "balance/TargetOwner.h"
+#include "balance/Watchers.h"
 #include "core/Log.h"
 #include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
@@ -31,8 +32,6 @@
 constexpr unsigned kFarBeatTicks = 5;
 // A starting host waits this long for peers before it asks the store itself.
 constexpr Duration kSettle = std::chrono::milliseconds(400);
-// Hosts that watch the store at the same time, so that one may fail.
-constexpr unsigned kFollowers = 2;
 // A host that could not reach the store is not chosen to watch it again until
 // then, unless none could.
 constexpr Duration kStoreDistrust = std::chrono::seconds(8);
@@ -417,6 +416,7 @@
       changed |= replica.Apply(kind, aPull.parts[IndexOf(kind)]);
     }
     OnCatalog(changed, before);
+    source.NoteRevisions(Revisions());
   }
 
   void OnStoreChanges(CatalogKind aKind, const CatalogChanges& aChanges)
@@ -471,11 +471,9 @@
       }
     }
     const bool selfCounts = reaching.empty() || storeOk;
-    const bool follow = !leaving && selfCounts &&
-                        IsAmongHighest(identity.self.host,
-                                       reaching.empty() ? all : reaching,
-                                       "store",
-                                       kFollowers);
+    const bool follow =
+      !leaving && selfCounts &&
+      IsWatcher(identity.self.host, reaching.empty() ? all : reaching);
     if (follow != following) {
       following = follow;
       Log(LogLevel::kInfo, "watch", { { "on", follow ? "1" : "0" } });
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -78,7 +78,7 @@
   ++state_.Counters().requests;
   const auto fleet = state_.Fleet();
   routes_ = fleet->routes;
-  if (!routes_) {
+  if (!routes_ || state_.Refusing()) {
     FinishOwn(OwnAnswerKind::kRefused);
     return;
   }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -174,6 +174,16 @@
   asio::post(impl_->context, [this] { impl_->state.BeginDrain(); });
 }
 
+void Gateway::RefuseNew()
+{
+  asio::post(impl_->context, [this] {
+    asio::error_code ignored;
+    impl_->acceptor.close(ignored);
+    impl_->state.RefuseNew();
+    impl_->CloseIdle();
+  });
+}
+
 void Gateway::CloseIdle()
 {
   asio::post(impl_->context, [this] { impl_->CloseIdle(); });
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -38,6 +38,9 @@
   /** Answers close their connections from now on. */
   void BeginDrain();
 
+  /** Takes no connections and refuses requests that arrive from now on. */
+  void RefuseNew();
+
   /** Closes connections without a request. */
   void CloseIdle();
 
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -50,6 +50,10 @@
   bool Draining() const { return draining_; }
   void BeginDrain() { draining_ = true; }
 
+  /** The process is about to end: new requests are refused. */
+  bool Refusing() const { return refusing_; }
+  void RefuseNew() { refusing_ = true; }
+
   /** Drops what belongs to targets that are gone; closes idle connections. */
   void CleanUp();
 
@@ -67,6 +71,7 @@
   std::map<RouteName, SplitCursor> splits_;
   std::map<RouteName, RouteLearning> learning_;
   bool draining_ = false;
+  bool refusing_ = false;
 };
 
 } // namespace lacewing
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -20,6 +20,9 @@
 // The balancer asks once a second and takes a host out after two misses; new
 // connections come until then.
 constexpr Duration kBalancerNotices = std::chrono::milliseconds(2600);
+// Requests that arrive later find a host that will not live to answer them:
+// the longest ones take some seconds of the grace time.
+constexpr Duration kRefuseAfter = std::chrono::milliseconds(3000);
 // How often a stopping host looks whether all requests have ended.
 constexpr Duration kStopCheck = std::chrono::milliseconds(50);
 // Left of the grace time for leaving in order.
@@ -171,6 +174,9 @@
       if (!std::exchange(idleClosed, true)) {
         gateway->CloseIdle();
       }
+      if (passed >= kRefuseAfter) {
+        gateway->RefuseNew();
+      }
       gateway->CountBusy([this](std::size_t aBusy) {
         asio::post(context, [this, aBusy] { OnBusy(aBusy); });
       });
