--- a/src/balance/Watchers.cpp
+++ b/src/balance/Watchers.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-bool IsWatcher(const HostId& aHost, const std::vector<OwnerCandidate>& aHosts)
+WatchRole WatchRoleOf(const HostId& aHost,
+                      const std::vector<OwnerCandidate>& aHosts)
 {
   std::map<ZoneId, std::vector<OwnerCandidate>> zones;
   const OwnerCandidate* self = nullptr;
@@ -22,11 +23,11 @@
     self = host.host == aHost ? &host : self;
   }
   if (self == nullptr) {
-    return false;
+    return WatchRole::kNone;
   }
   const unsigned perZone = zones.size() < kLeastWatchers ? kLeastWatchers : 1;
   if (!IsAmongHighest(aHost, zones[self->zone], kTask, perZone)) {
-    return false;
+    return WatchRole::kNone;
   }
   std::vector<OwnerCandidate> leaders;
   for (const auto& [zone, hosts] : zones) {
@@ -36,7 +37,11 @@
       }
     }
   }
-  return IsAmongHighest(aHost, leaders, kTask, kMaxWatchers);
+  if (!IsAmongHighest(aHost, leaders, kTask, kMaxWatchers)) {
+    return WatchRole::kNone;
+  }
+  return IsAmongHighest(aHost, leaders, kTask, 1) ? WatchRole::kFirst
+                                                  : WatchRole::kFurther;
 }
 
 } // namespace lacewing
--- a/src/fleet/CatalogSource.h
+++ b/src/fleet/CatalogSource.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_CATALOGSOURCE_H
 #define FLEET_CATALOGSOURCE_H
 
+#include "balance/WatchRole.h"
 #include "catalog/CatalogChanges.h"
 #include "catalog/CatalogKind.h"
 #include "fleet/PeerAddress.h"
@@ -34,10 +35,10 @@
   virtual void SetEvents(Events aEvents) = 0;
 
   /**
-   * Starts or stops watching; a start goes on from aKnown (by CatalogKind),
-   * and lists the objects of a kind where that is zero.
+   * Starts or stops watching, or changes its pace; a start goes on from aKnown
+   * (by CatalogKind), and lists the objects of a kind where that is zero.
    */
-  virtual void Follow(bool aOn, const std::vector<Revision>& aKnown) = 0;
+  virtual void Follow(WatchRole aRole, const std::vector<Revision>& aKnown) = 0;
 
   /** Peers are at these revisions; a watch that stays behind has failed. */
   virtual void NoteRevisions(const std::vector<Revision>& aRevisions) = 0;
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -74,7 +74,7 @@
   TimePoint forgottenAt;
   std::string membership;
   unsigned ticks = 0;
-  bool following = false;
+  WatchRole role = WatchRole::kNone;
   bool storeOk = true;
   bool leaving = false;
   bool registered = false;
@@ -457,7 +457,7 @@
     if (now < startedAt + kSettle) {
       return;
     }
-    if (!storeOk && !following && now >= distrustUntil) {
+    if (!storeOk && role == WatchRole::kNone && now >= distrustUntil) {
       storeOk = true;
     }
     std::vector<OwnerCandidate> all = peers.Candidates(now, leaving);
@@ -470,14 +470,15 @@
         reaching.push_back({ peer->address.host, peer->address.zone });
       }
     }
-    const bool selfCounts = reaching.empty() || storeOk;
-    const bool follow =
-      !leaving && selfCounts &&
-      IsWatcher(identity.self.host, reaching.empty() ? all : reaching);
-    if (follow != following) {
-      following = follow;
-      Log(LogLevel::kInfo, "watch", { { "on", follow ? "1" : "0" } });
-      source.Follow(follow, Revisions());
+    const bool mayWatch = !leaving && (reaching.empty() || storeOk);
+    const WatchRole wanted =
+      mayWatch
+        ? WatchRoleOf(identity.self.host, reaching.empty() ? all : reaching)
+        : WatchRole::kNone;
+    if (wanted != role) {
+      role = wanted;
+      Log(LogLevel::kInfo, "watch", { { "role", ToString(role) } });
+      source.Follow(role, Revisions());
     }
   }
 
@@ -698,7 +699,7 @@
   page.AddGauge("lacewing_store_watched",
                 "1 while this host watches the store.",
                 {},
-                impl_->following ? 1 : 0);
+                impl_->role == WatchRole::kNone ? 0 : 1);
   page.AddGauge(
     "lacewing_catalog_age_seconds",
     "Since the store last confirmed the catalog.",
