--- /dev/null
+++ b/tests/support/StoreStandin.cpp
@@ -0,0 +1,217 @@
+#include "support/StoreStandin.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+const std::string kObjects = "/-/objects/";
+
+HttpMessage Json(unsigned aStatus, const nlohmann::json& aBody)
+{
+  HttpMessage answer;
+  answer.head.status = aStatus;
+  answer.head.fields.Add("Content-Type", "application/json");
+  answer.body = aBody.dump();
+  return answer;
+}
+
+nlohmann::json ObjectJson(const std::string& aName,
+                          std::uint64_t aRevision,
+                          const nlohmann::json& aSpec)
+{
+  return { { "metadata", { { "name", aName }, { "revision", aRevision } } },
+           { "spec", aSpec },
+           { "status", nullptr } };
+}
+
+/** The value of a query's parameter; empty when absent. */
+std::string Parameter(const std::string& aTarget, const std::string& aName)
+{
+  for (const char* separator : { "?", "&" }) {
+    const std::string key = separator + aName + "=";
+    const std::size_t at = aTarget.find(key);
+    if (at != std::string::npos) {
+      const std::size_t begin = at + key.size();
+      return aTarget.substr(begin, aTarget.find('&', begin) - begin);
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(asio::io_context& aContext,
+                           const Endpoint& aEndpoint)
+  : context_(aContext)
+  , server_(SmallHttpServer::Make(aContext,
+                                  aEndpoint,
+                                  [this](const HttpMessage& aRequest,
+                                         SmallHttpServer::Responder aRespond) {
+                                    Serve(aRequest, std::move(aRespond));
+                                  })
+              .value())
+{
+}
+
+void StoreStandin::Put(const std::string& aKind,
+                       const std::string& aName,
+                       const nlohmann::json& aSpec)
+{
+  ++revision_;
+  objects_[aKind][aName] = { revision_, aSpec };
+  history_.push_back({ revision_, aKind, aName, false, aSpec });
+  Notify();
+}
+
+void StoreStandin::Remove(const std::string& aKind, const std::string& aName)
+{
+  if (objects_[aKind].erase(aName) > 0) {
+    ++revision_;
+    history_.push_back({ revision_, aKind, aName, true, nullptr });
+    Notify();
+  }
+}
+
+bool StoreStandin::Has(const std::string& aKind, const std::string& aName) const
+{
+  const auto kind = objects_.find(aKind);
+  return kind != objects_.end() && kind->second.count(aName) > 0;
+}
+
+void StoreStandin::ForgetHistory()
+{
+  ++revision_;
+  forgotten_ = revision_;
+  history_.clear();
+  for (Waiter& waiter : std::exchange(waiters_, {})) {
+    waiter.timer->cancel();
+    waiter.respond(Json(410, nlohmann::json::object()));
+  }
+}
+
+void StoreStandin::Serve(const HttpMessage& aRequest,
+                         SmallHttpServer::Responder aRespond)
+{
+  ++calls_;
+  const std::string& target = aRequest.head.target;
+  if (fault_ == StoreFault::kSilent) {
+    swallowed_.push_back(std::move(aRespond));
+    return;
+  }
+  if (fault_ == StoreFault::kBusy) {
+    aRespond(Json(503, nlohmann::json::object()));
+    return;
+  }
+  if (target.rfind(kObjects, 0) != 0) {
+    aRespond(Json(404, nlohmann::json::object()));
+    return;
+  }
+  const std::string path = target.substr(0, target.find('?'));
+  const std::string kind = path.substr(kObjects.size());
+  if (aRequest.head.method == "POST") {
+    Create(kind, aRequest, aRespond);
+    return;
+  }
+  const std::string watch = Parameter(target, "watch");
+  if (watch.empty()) {
+    List(kind, aRespond);
+    return;
+  }
+  Watch(kind,
+        std::stoull(watch),
+        std::chrono::milliseconds(std::stoll(Parameter(target, "wait_ms"))),
+        std::move(aRespond));
+}
+
+void StoreStandin::Create(const std::string& aKind,
+                          const HttpMessage& aRequest,
+                          const SmallHttpServer::Responder& aRespond)
+{
+  const auto body = nlohmann::json::parse(aRequest.body);
+  const std::string name = body.at("metadata").at("name");
+  if (Has(aKind, name)) {
+    aRespond(Json(409, nlohmann::json::object()));
+    return;
+  }
+  Put(aKind, name, body.at("spec"));
+  aRespond(Json(200, ObjectJson(name, revision_, body.at("spec"))));
+}
+
+void StoreStandin::List(const std::string& aKind,
+                        const SmallHttpServer::Responder& aRespond)
+{
+  nlohmann::json items = nlohmann::json::array();
+  for (const auto& [name, object] : objects_[aKind]) {
+    items.push_back(ObjectJson(name, object.revision, object.spec));
+  }
+  aRespond(Json(200,
+                { { "items", items },
+                  { "more", false },
+                  { "store_revision", revision_ } }));
+}
+
+nlohmann::json StoreStandin::EventsSince(const std::string& aKind,
+                                         std::uint64_t aSince) const
+{
+  nlohmann::json events = nlohmann::json::array();
+  for (const Event& event : history_) {
+    if (event.kind == aKind && event.revision > aSince) {
+      events.push_back(
+        { { "removed", event.removed },
+          { "object", ObjectJson(event.name, event.revision, event.spec) } });
+    }
+  }
+  return events;
+}
+
+void StoreStandin::Watch(const std::string& aKind,
+                         std::uint64_t aSince,
+                         std::chrono::milliseconds aWait,
+                         SmallHttpServer::Responder aRespond)
+{
+  if (aSince < forgotten_) {
+    aRespond(Json(410, nlohmann::json::object()));
+    return;
+  }
+  Waiter waiter;
+  waiter.kind = aKind;
+  waiter.since = aSince;
+  waiter.respond = std::move(aRespond);
+  waiter.timer = std::make_unique<asio::steady_timer>(context_, aWait);
+  waiters_.push_back(std::move(waiter));
+  const auto at = std::prev(waiters_.end());
+  at->timer->async_wait([this, at](const asio::error_code& aError) {
+    if (!aError) {
+      const auto respond = at->respond;
+      waiters_.erase(at);
+      respond(Json(200,
+                   { { "events", nlohmann::json::array() },
+                     { "store_revision", revision_ } }));
+    }
+  });
+  Notify();
+}
+
+void StoreStandin::Notify()
+{
+  if (fault_ != StoreFault::kNone) {
+    return;
+  }
+  for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
+    const nlohmann::json events = EventsSince(waiter->kind, waiter->since);
+    if (events.empty()) {
+      ++waiter;
+      continue;
+    }
+    const auto respond = waiter->respond;
+    waiter->timer->cancel();
+    waiter = waiters_.erase(waiter);
+    respond(
+      Json(200, { { "events", events }, { "store_revision", revision_ } }));
+  }
+}
+
+} // namespace lacewing
