Exchange digests between zones through two speakers a zone

Change: hosts beat only inside their zone, less often in larger zones; two speakers a zone exchange digests (hosts alive, silent, store in reach) and pull catalog changes. Ownership and watching are decided zone by zone. FleetControl is split into PeerExchange, HostDirectory and TargetDuties.

--- a/src/balance/TargetOwner.cpp
+++ b/src/balance/TargetOwner.cpp
@@ -6,26 +6,40 @@
 
 namespace {
 
-std::uint64_t Rank(const HostId& aHost, std::string_view aTask)
+std::uint64_t Rank(std::string_view aName, std::string_view aTask)
 {
-  return StableHash64(aHost.value(), StableHash64(aTask));
+  return StableHash64(aName, StableHash64(aTask));
 }
 
 } // namespace
 
+const ZoneId* OwnerZone(const TargetSpec& aTarget,
+                        const std::vector<ZoneId>& aAlive)
+{
+  const ZoneId* best = nullptr;
+  std::uint64_t bestRank = 0;
+  for (const ZoneId& zone : aAlive) {
+    if (zone == aTarget.zone) {
+      return &zone;
+    }
+    const std::uint64_t rank = Rank(zone.value(), aTarget.id.value());
+    if (best == nullptr || rank > bestRank) {
+      best = &zone;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
 const OwnerCandidate* OwnerOf(const TargetSpec& aTarget,
-                              const std::vector<OwnerCandidate>& aHosts)
+                              const std::vector<OwnerCandidate>& aZoneHosts)
 {
   const OwnerCandidate* best = nullptr;
-  bool bestLocal = false;
   std::uint64_t bestRank = 0;
-  for (const OwnerCandidate& host : aHosts) {
-    const bool local = host.zone == aTarget.zone;
-    const std::uint64_t rank = Rank(host.host, aTarget.id.value());
-    if (best == nullptr || (local && !bestLocal) ||
-        (local == bestLocal && rank > bestRank)) {
+  for (const OwnerCandidate& host : aZoneHosts) {
+    const std::uint64_t rank = Rank(host.host.value(), aTarget.id.value());
+    if (best == nullptr || rank > bestRank) {
       best = &host;
-      bestLocal = local;
       bestRank = rank;
     }
   }
@@ -37,10 +51,10 @@
                     const char* aTask,
                     unsigned aCount)
 {
-  const std::uint64_t own = Rank(aHost, aTask);
+  const std::uint64_t own = Rank(aHost.value(), aTask);
   unsigned higher = 0;
   for (const OwnerCandidate& host : aHosts) {
-    if (host.host != aHost && Rank(host.host, aTask) > own) {
+    if (host.host != aHost && Rank(host.host.value(), aTask) > own) {
       ++higher;
     }
   }
--- a/src/balance/TargetOwner.h
+++ b/src/balance/TargetOwner.h
@@ -9,16 +9,20 @@
 namespace lacewing {
 
 /**
- * The host that probes a target and sends to it while it is cold: the highest
- * by rendezvous hashing among the hosts of the target's zone, or among all
- * when the zone has none. Null without candidates.
+ * The zone whose hosts own the target: its own while that has hosts, else the
+ * highest of aAlive by rendezvous hashing. Null without zones.
  */
-const OwnerCandidate* OwnerOf(const TargetSpec& aTarget,
-                              const std::vector<OwnerCandidate>& aHosts);
+const ZoneId* OwnerZone(const TargetSpec& aTarget,
+                        const std::vector<ZoneId>& aAlive);
 
 /**
- * Whether aHost is among the aCount highest of aHosts for the task aTask.
+ * The host of the owning zone that probes a target and sends to it while it is
+ * cold: the highest by rendezvous hashing. Null without hosts.
  */
+const OwnerCandidate* OwnerOf(const TargetSpec& aTarget,
+                              const std::vector<OwnerCandidate>& aZoneHosts);
+
+/** Whether aHost is among the aCount highest of aHosts for the task aTask. */
 bool IsAmongHighest(const HostId& aHost,
                     const std::vector<OwnerCandidate>& aHosts,
                     const char* aTask,
--- a/src/balance/Watchers.cpp
+++ b/src/balance/Watchers.cpp
@@ -1,47 +1,51 @@
 #include "balance/Watchers.h"
 
 #include "balance/TargetOwner.h"
+#include "core/StableHash.h"
 
-#include <map>
+#include <algorithm>
 
 namespace lacewing {
 
 namespace {
 
 constexpr const char* kTask = "store";
-constexpr unsigned kLeastWatchers = 2;
+
+bool Contains(const std::vector<OwnerCandidate>& aHosts, const HostId& aHost)
+{
+  return std::any_of(
+    aHosts.begin(), aHosts.end(), [&](const OwnerCandidate& aEach) {
+      return aEach.host == aHost;
+    });
+}
+
+/** How many of the zones rank above aZone. */
+unsigned ZonesAbove(const ZoneId& aZone, const std::vector<ZoneId>& aZones)
+{
+  const std::uint64_t seed = StableHash64(kTask);
+  const std::uint64_t own = StableHash64(aZone.value(), seed);
+  return static_cast<unsigned>(
+    std::count_if(aZones.begin(), aZones.end(), [&](const ZoneId& aEach) {
+      return StableHash64(aEach.value(), seed) > own;
+    }));
+}
 
 } // namespace
 
-WatchRole WatchRoleOf(const HostId& aHost,
-                      const std::vector<OwnerCandidate>& aHosts)
+WatchRole WatchRoleOf(const OwnerCandidate& aSelf,
+                      const std::vector<OwnerCandidate>& aZoneHosts,
+                      const std::vector<ZoneId>& aOtherZones)
 {
-  std::map<ZoneId, std::vector<OwnerCandidate>> zones;
-  const OwnerCandidate* self = nullptr;
-  for (const OwnerCandidate& host : aHosts) {
-    zones[host.zone].push_back(host);
-    self = host.host == aHost ? &host : self;
-  }
-  if (self == nullptr) {
-    return WatchRole::kNone;
-  }
-  const unsigned perZone = zones.size() < kLeastWatchers ? kLeastWatchers : 1;
-  if (!IsAmongHighest(aHost, zones[self->zone], kTask, perZone)) {
-    return WatchRole::kNone;
-  }
-  std::vector<OwnerCandidate> leaders;
-  for (const auto& [zone, hosts] : zones) {
-    for (const OwnerCandidate& host : hosts) {
-      if (IsAmongHighest(host.host, hosts, kTask, perZone)) {
-        leaders.push_back(host);
-      }
-    }
-  }
-  if (!IsAmongHighest(aHost, leaders, kTask, kMaxWatchers)) {
+  const unsigned watching = aOtherZones.empty() ? 2 : 1;
+  const unsigned above = ZonesAbove(aSelf.zone, aOtherZones);
+  if (!Contains(aZoneHosts, aSelf.host) ||
+      !IsAmongHighest(aSelf.host, aZoneHosts, kTask, watching) ||
+      above >= kMaxWatchers) {
     return WatchRole::kNone;
   }
-  return IsAmongHighest(aHost, leaders, kTask, 1) ? WatchRole::kFirst
-                                                  : WatchRole::kFurther;
+  return above == 0 && IsAmongHighest(aSelf.host, aZoneHosts, kTask, 1)
+           ? WatchRole::kFirst
+           : WatchRole::kFurther;
 }
 
 } // namespace lacewing
--- a/src/balance/Watchers.h
+++ b/src/balance/Watchers.h
@@ -8,18 +8,21 @@
 
 namespace lacewing {
 
-/**
- * Whether aHost is one of those that watch the store for all: the highest by
- * rendezvous hashing of each zone, so that news need not cross zones and one
- * zone's loss leaves watchers. At most kMaxWatchers zones watch; a deployment
- * of one zone has two watchers there. The highest of all is the first.
- */
-WatchRole WatchRoleOf(const HostId& aHost,
-                      const std::vector<OwnerCandidate>& aHosts);
-
 /** Zones that watch; more would only add calls to the store. */
 constexpr unsigned kMaxWatchers = 4;
 
+/**
+ * How a host takes part in watching the store for all: the highest host of a
+ * zone watches, so that news need not cross zones and one zone's loss leaves
+ * watchers. At most kMaxWatchers zones watch, and the highest of them has the
+ * first watcher; in a deployment of one zone two hosts watch.
+ * aZoneHosts are the hosts of aSelf's zone that may watch, aOtherZones the
+ * other zones that have such hosts.
+ */
+WatchRole WatchRoleOf(const OwnerCandidate& aSelf,
+                      const std::vector<OwnerCandidate>& aZoneHosts,
+                      const std::vector<ZoneId>& aOtherZones);
+
 } // namespace lacewing
 
 #endif // BALANCE_WATCHERS_H
--- /dev/null
+++ b/src/fleet/FarHosts.cpp
@@ -0,0 +1,62 @@
+#include "fleet/FarHosts.h"
+
+#include "balance/TargetOwner.h"
+#include "fleet/Speakers.h"
+
+namespace lacewing {
+
+namespace {
+
+// A speaker that was not heard for some beats may have been replaced.
+constexpr Duration kSpeakerSilence = std::chrono::seconds(2);
+
+} // namespace
+
+void FarHosts::Learn(const PeerAddress& aHost)
+{
+  zones_[aHost.zone][aHost.host].address = aHost;
+}
+
+void FarHosts::OnSpeaker(const PeerAddress& aHost, TimePoint aNow)
+{
+  Entry& entry = zones_[aHost.zone][aHost.host];
+  entry.address = aHost;
+  entry.spokeAt = aNow;
+}
+
+std::vector<PeerAddress> FarHosts::Recipients(TimePoint aNow, bool aAll) const
+{
+  std::vector<PeerAddress> recipients;
+  for (const auto& [zone, hosts] : zones_) {
+    std::vector<PeerAddress> speakers;
+    std::vector<OwnerCandidate> known;
+    for (const auto& [host, entry] : hosts) {
+      known.push_back({ host, zone });
+      if (aAll || entry.spokeAt + kSpeakerSilence > aNow) {
+        speakers.push_back(entry.address);
+      }
+    }
+    if (speakers.empty()) {
+      for (const auto& [host, entry] : hosts) {
+        if (Speaks(host, known)) {
+          speakers.push_back(entry.address);
+        }
+      }
+    }
+    recipients.insert(recipients.end(), speakers.begin(), speakers.end());
+  }
+  return recipients;
+}
+
+std::vector<PeerAddress> FarHosts::All() const
+{
+  std::vector<PeerAddress> all;
+  for (const auto& [zone, hosts] : zones_) {
+    for (const auto& [host, entry] : hosts) {
+      all.push_back(entry.address);
+    }
+  }
+  return all;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/fleet/FarHosts.h
@@ -0,0 +1,42 @@
+#ifndef FLEET_FARHOSTS_H
+#define FLEET_FARHOSTS_H
+
+#include "fleet/PeerAddress.h"
+#include "lacewing/Clock.h"
+
+#include <map>
+#include <vector>
+
+namespace lacewing {
+
+/** Hosts of other zones: where to send a zone's digest. */
+class FarHosts
+{
+public:
+  void Learn(const PeerAddress& aHost);
+
+  /** The host speaks for its zone, by its own word or by its zone's. */
+  void OnSpeaker(const PeerAddress& aHost, TimePoint aNow);
+
+  /**
+   * Hosts to which a zone's digest goes: each zone's speakers, the highest by
+   * rank where none is known, and now and then all, so that zones that lost
+   * each other meet again.
+   */
+  std::vector<PeerAddress> Recipients(TimePoint aNow, bool aAll) const;
+
+  std::vector<PeerAddress> All() const;
+
+private:
+  struct Entry
+  {
+    PeerAddress address;
+    TimePoint spokeAt;
+  };
+
+  std::map<ZoneId, std::map<HostId, Entry>> zones_;
+};
+
+} // namespace lacewing
+
+#endif // FLEET_FARHOSTS_H
--- /dev/null
+++ b/src/fleet/HostDirectory.cpp
@@ -0,0 +1,124 @@
+#include "fleet/HostDirectory.h"
+
+#include "core/Log.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration kRetry = std::chrono::seconds(1);
+
+} // namespace
+
+struct HostDirectory::Impl : std::enable_shared_from_this<Impl>
+{
+  const HostIdentity identity;
+  CatalogSource& source;
+  Handler handler;
+  asio::steady_timer timer;
+  bool registered = false;
+
+  Impl(asio::io_context& aContext,
+       const HostIdentity& aIdentity,
+       CatalogSource& aSource,
+       Handler aHandler)
+    : identity(aIdentity)
+    , source(aSource)
+    , handler(std::move(aHandler))
+    , timer(aContext)
+  {
+  }
+
+  void Register()
+  {
+    source.RegisterHost(identity.self,
+                        [self = weak_from_this()](const Outcome<void>& aDone) {
+                          if (const auto impl = self.lock()) {
+                            impl->OnRegistered(aDone);
+                          }
+                        });
+  }
+
+  void OnRegistered(const Outcome<void>& aDone)
+  {
+    if (!aDone) {
+      RetryLater(aDone.error(), &Impl::Register);
+      return;
+    }
+    registered = true;
+    List();
+  }
+
+  void List()
+  {
+    source.ListHosts([self = weak_from_this()](
+                       const Outcome<std::vector<PeerAddress>>& aHosts) {
+      if (const auto impl = self.lock()) {
+        impl->OnListed(aHosts);
+      }
+    });
+  }
+
+  void OnListed(const Outcome<std::vector<PeerAddress>>& aHosts)
+  {
+    if (!aHosts) {
+      RetryLater(aHosts.error(), &Impl::List);
+      return;
+    }
+    const std::vector<PeerAddress>& hosts = aHosts.value();
+    Log(LogLevel::kInfo,
+        "list-hosts",
+        { { "hosts", std::to_string(hosts.size()) } });
+    handler(hosts);
+    const PeerAddress& self = identity.self;
+    const bool listed =
+      std::any_of(hosts.begin(), hosts.end(), [&](const PeerAddress& aHost) {
+        return aHost.host == self.host && aHost.address == self.address &&
+               aHost.port == self.port;
+      });
+    if (!listed && !registered) {
+      Register();
+    }
+  }
+
+  void RetryLater(const Error& aError, void (Impl::*aStep)())
+  {
+    Log(
+      LogLevel::kWarning, "host-directory", { { "error", aError.ToString() } });
+    timer.expires_after(kRetry);
+    timer.async_wait(
+      [self = weak_from_this(), aStep](const asio::error_code& aFailed) {
+        const auto impl = self.lock();
+        if (!aFailed && impl) {
+          ((*impl).*aStep)();
+        }
+      });
+  }
+};
+
+HostDirectory::HostDirectory(asio::io_context& aContext,
+                             const HostIdentity& aIdentity,
+                             CatalogSource& aSource,
+                             Handler aHandler)
+  : impl_(
+      std::make_shared<Impl>(aContext, aIdentity, aSource, std::move(aHandler)))
+{
+}
+
+HostDirectory::~HostDirectory() = default;
+
+void HostDirectory::Start()
+{
+  if (impl_->identity.firstStart) {
+    impl_->Register();
+  } else {
+    impl_->List();
+  }
+}
+
+} // namespace lacewing
--- a/src/fleet/Peer.h
+++ b/src/fleet/Peer.h
@@ -16,6 +16,8 @@
 {
   PeerAddress address;
   Incarnation incarnation;
+  /** When a list named it. */
+  TimePoint learntAt;
   /** Empty until the first beat. */
   std::optional<TimePoint> heardAt;
   bool leaving = false;
--- a/src/fleet/PeerBeat.h
+++ b/src/fleet/PeerBeat.h
@@ -3,6 +3,7 @@
 
 #include "fleet/PeerAddress.h"
 #include "fleet/WireReading.h"
+#include "fleet/ZoneDigest.h"
 #include "lacewing/Incarnation.h"
 #include "lacewing/Revision.h"
 #include "wire/WireMember.h"
@@ -30,6 +31,8 @@
   Duration confirmedAge{ 0 };
   std::vector<WireReading> readings;
   std::vector<PeerAddress> members;
+  /** The sender's zone, and inside a zone the others that speakers know. */
+  std::vector<ZoneDigest> zones;
 
   static constexpr auto WireMembers()
   {
@@ -41,7 +44,8 @@
                            WireMember{ "v", &PeerBeat::revisions },
                            WireMember{ "c", &PeerBeat::confirmedAge },
                            WireMember{ "r", &PeerBeat::readings },
-                           WireMember{ "m", &PeerBeat::members });
+                           WireMember{ "m", &PeerBeat::members },
+                           WireMember{ "o", &PeerBeat::zones });
   }
 };
 
--- a/src/fleet/PeerTable.cpp
+++ b/src/fleet/PeerTable.cpp
@@ -4,14 +4,20 @@
 
 namespace {
 
-// Three beats and more; a host that is only slow is not given up at once.
-constexpr Duration kZoneSilence = std::chrono::milliseconds(700);
-constexpr Duration kFarSilence = std::chrono::milliseconds(1700);
+// Beats inside a zone of up to kHostsPerStep hosts; larger zones beat more
+// rarely, so that a host's cost stays about the same.
+constexpr Duration kBeatStep = std::chrono::milliseconds(200);
+constexpr std::size_t kHostsPerStep = 16;
+// Beats that must be missing in a row; a host that is only slow is not given
+// up at once.
+constexpr int kMissedBeats = 3;
 // Cuts of machines last seconds; a host silent for longer is taken as stopped.
 constexpr Duration kMayRunBehindCut = std::chrono::seconds(30);
 // Beats still go to silent hosts for this long, so that both ends of a healed
 // cut find each other again.
 constexpr Duration kForgetAfter = std::chrono::seconds(120);
+// A listed host that never answers has gone; a new one greets by itself.
+constexpr Duration kNeverHeard = std::chrono::seconds(15);
 
 } // namespace
 
@@ -20,7 +26,7 @@
 {
 }
 
-bool PeerTable::Learn(const PeerAddress& aAddress)
+bool PeerTable::Learn(const PeerAddress& aAddress, TimePoint aNow)
 {
   if (aAddress.host == self_.host) {
     return false;
@@ -28,10 +34,16 @@
   const auto [peer, added] = peers_.try_emplace(aAddress.host);
   if (added) {
     peer->second.address = aAddress;
+    peer->second.learntAt = aNow;
   }
   return added;
 }
 
+Duration PeerTable::BeatPeriod() const
+{
+  return kBeatStep * (1 + peers_.size() / kHostsPerStep);
+}
+
 bool PeerTable::OnBeat(const PeerBeat& aBeat, TimePoint aNow)
 {
   if (aBeat.from.host == self_.host) {
@@ -55,8 +67,7 @@
 
 bool PeerTable::IsAlive(const Peer& aPeer, TimePoint aNow) const
 {
-  const Duration silence =
-    aPeer.address.zone == self_.zone ? kZoneSilence : kFarSilence;
+  const Duration silence = BeatPeriod() * kMissedBeats + kBeatStep / 2;
   return aPeer.heardAt && *aPeer.heardAt + silence > aNow;
 }
 
@@ -108,8 +119,9 @@
 void PeerTable::Forget(TimePoint aNow)
 {
   for (auto peer = peers_.begin(); peer != peers_.end();) {
-    const bool old =
-      peer->second.heardAt && *peer->second.heardAt + kForgetAfter < aNow;
+    const Peer& each = peer->second;
+    const bool old = each.heardAt ? *each.heardAt + kForgetAfter < aNow
+                                  : each.learntAt + kNeverHeard < aNow;
     peer = old ? peers_.erase(peer) : std::next(peer);
   }
 }
--- a/src/fleet/PeerTable.h
+++ b/src/fleet/PeerTable.h
@@ -10,16 +10,16 @@
 
 namespace lacewing {
 
-/** The other hosts of the fleet, by beats and by lists. */
+/** The other hosts of this host's zone, by beats and by lists. */
 class PeerTable
 {
 public:
   explicit PeerTable(const PeerAddress& aSelf);
 
-  /** A list names a host; returns whether it is new. */
-  bool Learn(const PeerAddress& aAddress);
+  /** A list names a host of the zone; returns whether it is new. */
+  bool Learn(const PeerAddress& aAddress, TimePoint aNow);
 
-  /** Returns whether the sender was not alive before. */
+  /** Returns whether the sender was not alive before, or changed its state. */
   bool OnBeat(const PeerBeat& aBeat, TimePoint aNow);
 
   /** Hosts that were heard lately. */
@@ -32,14 +32,15 @@
   std::vector<OwnerCandidate> Candidates(TimePoint aNow,
                                          bool aSelfLeaving) const;
 
-  /**
-   * Hosts that fell silent without a word and may still run behind a cut.
-   */
+  /** Hosts that fell silent without a word and may still run behind a cut. */
   unsigned SilentHosts(TimePoint aNow) const;
 
   /** Forgets hosts that have been silent for long. */
   void Forget(TimePoint aNow);
 
+  /** The time between beats that suits the number of hosts. */
+  Duration BeatPeriod() const;
+
 private:
   bool IsAlive(const Peer& aPeer, TimePoint aNow) const;
 
--- /dev/null
+++ b/src/fleet/TargetDuties.h
@@ -0,0 +1,68 @@
+#ifndef FLEET_TARGETDUTIES_H
+#define FLEET_TARGETDUTIES_H
+
+#include "balance/ColdTerms.h"
+#include "balance/FleetSnapshot.h"
+#include "balance/LoadSnapshot.h"
+#include "core/SnapshotCell.h"
+#include "fleet/CatalogView.h"
+#include "fleet/FleetTerms.h"
+#include "fleet/PeerAddress.h"
+#include "fleet/PeerExchange.h"
+#include "lacewing/Clock.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lacewing {
+
+/**
+ * Works out which targets this host may use and which it owns, probes the
+ * owned ones, and publishes the snapshots for the traffic thread.
+ */
+class TargetDuties
+{
+public:
+  /** aOnNews is called when an owned target's health changed. */
+  TargetDuties(asio::io_context& aContext,
+               const Clock& aClock,
+               const PeerAddress& aSelf,
+               const FleetTerms& aTerms,
+               SnapshotCell<FleetSnapshot>& aFleet,
+               SnapshotCell<LoadSnapshot>& aLoad,
+               std::function<void()> aOnNews);
+  ~TargetDuties();
+  TargetDuties(const TargetDuties&) = delete;
+  TargetDuties& operator=(const TargetDuties&) = delete;
+
+  /** Takes over a changed catalog or membership. */
+  void Rebuild(const CatalogView& aCatalog, const PeerExchange& aPeers);
+
+  void SetColdTerms(const ColdTerms& aTerms);
+
+  /** A peer probed a target. */
+  void OnReading(const LoadReading& aReading);
+
+  void ProbeAll();
+
+  /** Publishes readings that came since. */
+  void PublishReadings();
+
+  std::vector<LoadReading> OwnReadings() const;
+
+  /** Whether callers can be served. */
+  bool Ready() const;
+
+  std::uint64_t ProbeCount() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace lacewing
+
+#endif // FLEET_TARGETDUTIES_H
--- a/tests/BalanceTest.cpp
+++ b/tests/BalanceTest.cpp
@@ -117,27 +117,41 @@
   CHECK(dealt[ServiceId("b")] == 10);
 }
 
-// Guards against a target without an owner, with an owner in another zone
-// while its own has hosts, and against one host that owns all.
+// Guards against a target without an owner or with several, with an owner in
+// another zone while its own has hosts, and against one host that owns all.
 TEST_CASE("balance: each target has one owner, in its zone while it has hosts")
 {
   const auto hosts = Hosts(3, 5);
+  const std::vector<ZoneId> zones = { ZoneId("z0"),
+                                      ZoneId("z1"),
+                                      ZoneId("z2") };
   std::map<HostId, int> owned;
+  std::map<ZoneId, int> adopted;
   for (int i = 0; i < 300; ++i) {
     TargetSpec target;
     target.id = TargetId("t" + std::to_string(i));
     target.zone = ZoneId("z" + std::to_string(i % 4));
-    const OwnerCandidate* owner = OwnerOf(target, hosts);
-    REQUIRE(owner != nullptr);
+    const ZoneId* zone = OwnerZone(target, zones);
+    REQUIRE(zone != nullptr);
     if (i % 4 < 3) {
-      CHECK(owner->zone == target.zone);
+      CHECK(*zone == target.zone);
+    } else {
+      ++adopted[*zone];
     }
-    ++owned[owner->host];
+    std::vector<OwnerCandidate> zoneHosts;
+    for (const OwnerCandidate& host : hosts) {
+      if (host.zone == *zone) {
+        zoneHosts.push_back(host);
+      }
+    }
+    ++owned[OwnerOf(target, zoneHosts)->host];
   }
+  CHECK(adopted.size() == 3);
   for (const auto& [host, count] : owned) {
     CHECK(count < 60);
   }
   CHECK(OwnerOf(TargetSpec(), {}) == nullptr);
+  CHECK(OwnerZone(TargetSpec(), {}) == nullptr);
 }
 
 // Guards against both watchers in one zone (CONFIG on trinacria-badges
@@ -145,24 +159,40 @@
 TEST_CASE("balance: one host of each zone watches the store, one of them first")
 {
   for (int zones = 1; zones <= 6; ++zones) {
-    const auto hosts = Hosts(zones, 4);
-    std::map<ZoneId, int> watching;
     int first = 0;
-    for (const OwnerCandidate& host : hosts) {
-      const WatchRole role = WatchRoleOf(host.host, hosts);
-      watching[host.zone] += role == WatchRole::kNone ? 0 : 1;
-      first += role == WatchRole::kFirst ? 1 : 0;
-    }
-    CHECK(first == 1);
     int all = 0;
-    for (const auto& [zone, count] : watching) {
-      CHECK(count <= (zones == 1 ? 2 : 1));
-      all += count;
+    for (int zone = 0; zone < zones; ++zone) {
+      std::vector<OwnerCandidate> zoneHosts;
+      std::vector<ZoneId> others;
+      for (const OwnerCandidate& host : Hosts(zones, 4)) {
+        if (host.zone == ZoneId("z" + std::to_string(zone))) {
+          zoneHosts.push_back(host);
+        } else if (others.empty() || others.back() != host.zone) {
+          others.push_back(host.zone);
+        }
+      }
+      int watching = 0;
+      for (const OwnerCandidate& host : zoneHosts) {
+        const WatchRole role = WatchRoleOf(host, zoneHosts, others);
+        watching += role == WatchRole::kNone ? 0 : 1;
+        first += role == WatchRole::kFirst ? 1 : 0;
+      }
+      CHECK(watching <= (zones == 1 ? 2 : 1));
+      all += watching;
     }
+    CHECK(first == 1);
     CHECK(all == std::min(std::max(zones, 2), 4));
   }
 }
 
+// Guards against a host that watches though it does not reach the store.
+TEST_CASE("balance: a host that may not watch has no role")
+{
+  const auto hosts = Hosts(1, 3);
+  const OwnerCandidate other{ HostId("other"), ZoneId("z0") };
+  CHECK(WatchRoleOf(other, hosts, {}) == WatchRole::kNone);
+}
+
 // Guards against repeating what may have run.
 TEST_CASE("balance: only what certainly did not run is repeated for once")
 {
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -1,7 +1,9 @@
 #include "core/ManualClock.h"
+#include "fleet/FarHosts.h"
 #include "fleet/LoadBoard.h"
 #include "fleet/PeerCodec.h"
 #include "fleet/PeerTable.h"
+#include "fleet/ZoneTable.h"
 
 #include <doctest/doctest.h>
 
@@ -40,6 +42,7 @@
   reading.slowdownPercent = 400;
   reading.coldLeft = std::chrono::milliseconds(1500);
   beat.readings = { reading };
+  beat.zones = { { ZoneId("z1"), 4, 1, true, std::chrono::seconds(1) } };
   const auto decoded = DecodeBeat(EncodeBeat(beat));
   REQUIRE(decoded);
   CHECK(decoded.value().from.host == HostId("h1"));
@@ -49,6 +52,7 @@
   CHECK(decoded.value().revisions == beat.revisions);
   CHECK(decoded.value().members.at(0).host == HostId("h2"));
   CHECK(decoded.value().readings.at(0).slowdownPercent == 400);
+  CHECK(decoded.value().zones.at(0).alive == 4);
   CHECK(decoded.value().readings.at(0).coldLeft ==
         std::chrono::milliseconds(1500));
 }
@@ -72,15 +76,54 @@
   ManualClock clock;
   PeerTable peers(Address("self", "z1"));
   CHECK(peers.OnBeat(Beat("near", "z1"), clock.Now()));
-  CHECK(peers.OnBeat(Beat("far", "z2"), clock.Now()));
-  CHECK(peers.Candidates(clock.Now(), false).size() == 3);
-  clock.Advance(std::chrono::milliseconds(900));
   CHECK(peers.Candidates(clock.Now(), false).size() == 2);
+  clock.Advance(std::chrono::milliseconds(900));
+  CHECK(peers.Candidates(clock.Now(), false).size() == 1);
   CHECK(peers.SilentHosts(clock.Now()) == 1);
   clock.Advance(std::chrono::seconds(40));
   CHECK(peers.SilentHosts(clock.Now()) == 0);
 }
 
+// Guards against a zone that takes over another's targets too early, and
+// against cold quotas that forget the hosts of a zone behind a cut.
+TEST_CASE("fleet: a silent zone's hosts count as behind a cut")
+{
+  ManualClock clock;
+  ZoneTable zones(clock.Now());
+  zones.Learn(ZoneId("listed"));
+  zones.Merge({ ZoneId("far"), 5, 1, true, std::chrono::milliseconds(100) },
+              clock.Now());
+  CHECK(zones.Alive(clock.Now()).size() == 2);
+  CHECK(zones.SilentHosts(clock.Now()) == 1);
+  // An older digest by another way changes nothing.
+  zones.Merge({ ZoneId("far"), 0, 0, false, std::chrono::milliseconds(400) },
+              clock.Now());
+  CHECK(zones.Fresh(clock.Now()).at(0).alive == 5);
+  clock.Advance(std::chrono::seconds(3));
+  CHECK(zones.Alive(clock.Now()).empty());
+  CHECK(zones.SilentHosts(clock.Now()) == 6);
+  clock.Advance(std::chrono::seconds(40));
+  CHECK(zones.SilentHosts(clock.Now()) == 0);
+}
+
+// Guards against zones that lose each other: a digest goes to the speakers,
+// to the highest of the listed hosts while none spoke, and now and then to all.
+TEST_CASE("fleet: digests reach a zone whoever speaks for it")
+{
+  ManualClock clock;
+  FarHosts far;
+  for (int i = 0; i < 9; ++i) {
+    far.Learn(Address("h" + std::to_string(i), "z2"));
+  }
+  CHECK(far.Recipients(clock.Now(), false).size() == 2);
+  CHECK(far.Recipients(clock.Now(), true).size() == 9);
+  far.OnSpeaker(Address("new", "z2"), clock.Now());
+  REQUIRE(far.Recipients(clock.Now(), false).size() == 1);
+  CHECK(far.Recipients(clock.Now(), false).at(0).host == HostId("new"));
+  clock.Advance(std::chrono::seconds(5));
+  CHECK(far.Recipients(clock.Now(), false).size() == 2);
+}
+
 // Guards against a host that stops in order and still takes part.
 TEST_CASE("fleet: a leaving host takes no tasks and is not behind a cut")
 {
