--- a/src/balance/LocalView.cpp
+++ b/src/balance/LocalView.cpp
@@ -24,9 +24,10 @@
 void LocalView::OnSent(TimePoint aNow)
 {
   ++inFlight_;
-  while (!sent_.empty() && sent_.front() + kSentMemory < aNow) {
-    sent_.pop_front();
-  }
+  sent_.erase(sent_.begin(),
+              std::find_if(sent_.begin(), sent_.end(), [aNow](TimePoint aSent) {
+                return aSent + kSentMemory >= aNow;
+              }));
   sent_.push_back(aNow);
 }
 
--- a/src/balance/LocalView.h
+++ b/src/balance/LocalView.h
@@ -5,8 +5,8 @@
 #include "decision/DecayingValue.h"
 #include "lacewing/Clock.h"
 
-#include <deque>
 #include <optional>
+#include <vector>
 
 namespace lacewing {
 
@@ -51,7 +51,7 @@
   DecayingValue successes_;
   LoadReading own_;
   /** Times of recent sendings, the newest last. */
-  std::deque<TimePoint> sent_;
+  std::vector<TimePoint> sent_;
 };
 
 } // namespace lacewing
--- a/src/fleet/FarHosts.cpp
+++ b/src/fleet/FarHosts.cpp
@@ -48,15 +48,22 @@
   return recipients;
 }
 
-std::vector<PeerAddress> FarHosts::All() const
+std::vector<PeerAddress> FarHosts::Introductions(const ZoneId& aZone,
+                                                 TimePoint aNow) const
 {
-  std::vector<PeerAddress> all;
-  for (const auto& [zone, hosts] : zones_) {
-    for (const auto& [host, entry] : hosts) {
-      all.push_back(entry.address);
+  std::vector<PeerAddress> hosts;
+  for (const PeerAddress& speaker : Recipients(aNow, false)) {
+    if (speaker.zone != aZone) {
+      hosts.push_back(speaker);
+    }
+  }
+  const auto zone = zones_.find(aZone);
+  if (zone != zones_.end()) {
+    for (const auto& [host, entry] : zone->second) {
+      hosts.push_back(entry.address);
     }
   }
-  return all;
+  return hosts;
 }
 
 } // namespace lacewing
--- a/src/fleet/FarHosts.h
+++ b/src/fleet/FarHosts.h
@@ -25,7 +25,9 @@
    */
   std::vector<PeerAddress> Recipients(TimePoint aNow, bool aAll) const;
 
-  std::vector<PeerAddress> All() const;
+  /** Hosts to name to a starting host of aZone: its zone's, and speakers. */
+  std::vector<PeerAddress> Introductions(const ZoneId& aZone,
+                                         TimePoint aNow) const;
 
 private:
   struct Entry
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -23,6 +23,8 @@
 // Owned targets are probed on each second step: readings only say where to
 // look, since each choice asks the targets themselves.
 constexpr unsigned kProbeTicks = 2;
+// Where no seed answered by then, hosts are looked for in the store.
+constexpr Duration kSeedPatience = std::chrono::milliseconds(1200);
 // A starting host waits this long for peers before it asks the store itself.
 constexpr Duration kSettle = std::chrono::milliseconds(400);
 // A host that could not reach the store is not chosen to watch it again until
@@ -52,6 +54,7 @@
   WatchRole role = WatchRole::kNone;
   bool storeOk = true;
   bool leaving = false;
+  bool searched = false;
 
   Impl(asio::io_context& aContext,
        const Clock& aClock,
@@ -98,8 +101,7 @@
     };
     events.onReachable = [this](bool aReachable) { OnReachable(aReachable); };
     source.SetEvents(std::move(events));
-    directory.Start();
-    peers->GreetSeeds();
+    peers->Tick({});
     ScheduleTick();
     return outcome::success();
   }
@@ -234,6 +236,9 @@
     if (wanted != role) {
       role = wanted;
       Log(LogLevel::kInfo, "watch", { { "role", ToString(role) } });
+      if (role != WatchRole::kNone) {
+        directory.Enter();
+      }
       source.Follow(role, Revisions());
     }
   }
@@ -291,6 +296,11 @@
       return;
     }
     OnMembership();
+    if (!searched && !peers->HasHeard() &&
+        clock.Now() > startedAt + kSeedPatience) {
+      searched = true;
+      directory.Find();
+    }
     CatchUp();
     duties.PublishReadings();
     peers->Tick(duties.OwnReadings());
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -4,7 +4,6 @@
 
 #include <asio/steady_timer.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace lacewing {
@@ -22,6 +21,8 @@
   Handler handler;
   asio::steady_timer timer;
   bool registered = false;
+  bool underWay = false;
+  bool listWanted = false;
 
   Impl(asio::io_context& aContext,
        const HostIdentity& aIdentity,
@@ -36,6 +37,7 @@
 
   void Register()
   {
+    underWay = true;
     source.RegisterHost(identity.self,
                         [self = weak_from_this()](const Outcome<void>& aDone) {
                           if (const auto impl = self.lock()) {
@@ -51,7 +53,9 @@
       return;
     }
     registered = true;
-    List();
+    if (listWanted) {
+      List();
+    }
   }
 
   void List()
@@ -75,15 +79,6 @@
         "list-hosts",
         { { "hosts", std::to_string(hosts.size()) } });
     handler(hosts);
-    const PeerAddress& self = identity.self;
-    const bool listed =
-      std::any_of(hosts.begin(), hosts.end(), [&](const PeerAddress& aHost) {
-        return aHost.host == self.host && aHost.address == self.address &&
-               aHost.port == self.port;
-      });
-    if (!listed && !registered) {
-      Register();
-    }
   }
 
   void RetryLater(const Error& aError, void (Impl::*aStep)())
@@ -112,12 +107,20 @@
 
 HostDirectory::~HostDirectory() = default;
 
-void HostDirectory::Start()
+void HostDirectory::Find()
 {
-  if (impl_->identity.firstStart) {
-    impl_->Register();
-  } else {
+  impl_->listWanted = true;
+  if (impl_->registered) {
     impl_->List();
+  } else {
+    Enter();
+  }
+}
+
+void HostDirectory::Enter()
+{
+  if (!impl_->underWay) {
+    impl_->Register();
   }
 }
 
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -13,8 +13,9 @@
 namespace lacewing {
 
 /**
- * Enters a host in the store and lists the others, once at its start. A host
- * that starts again is still listed and makes one call only.
+ * Finds other hosts through the store where seeds do not help, which costs two
+ * calls. Hosts that watch the store are entered there, so that there are some
+ * to find.
  */
 class HostDirectory
 {
@@ -29,8 +30,11 @@
   HostDirectory(const HostDirectory&) = delete;
   HostDirectory& operator=(const HostDirectory&) = delete;
 
-  /** Tries until the store answers. */
-  void Start();
+  /** Enters this host and lists the others; tries until the store answers. */
+  void Find();
+
+  /** Enters this host, unless it was. */
+  void Enter();
 
 private:
   struct Impl;
--- a/src/fleet/HostIdentity.h
+++ b/src/fleet/HostIdentity.h
@@ -15,8 +15,6 @@
   Incarnation incarnation;
   /** Hosts that may know the fleet; any of them may be down. */
   std::vector<Endpoint> seeds;
-  /** The fleet starts for the first time: no host is registered yet. */
-  bool firstStart = false;
 };
 
 } // namespace lacewing
--- a/src/fleet/PeerExchange.cpp
+++ b/src/fleet/PeerExchange.cpp
@@ -8,6 +8,8 @@
 #include "fleet/ZoneTable.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace lacewing {
@@ -18,6 +20,8 @@
 constexpr Duration kFarPeriod = std::chrono::milliseconds(500);
 // Each time, digests go to all known hosts of other zones.
 constexpr Duration kMeetPeriod = std::chrono::seconds(10);
+// Seeds may start later than this host; each is asked until it answers.
+constexpr Duration kSeedPatience = std::chrono::seconds(3);
 constexpr Duration kForgetPeriod = std::chrono::seconds(5);
 // Entries in one datagram, which stays below a packet of 1,500 bytes.
 constexpr std::size_t kMembersPerBeat = 16;
@@ -34,6 +38,9 @@
   PeerTable near;
   FarHosts far;
   ZoneTable zones;
+  const TimePoint startedAt;
+  /** Addresses of hosts that were heard while seeds are asked. */
+  std::set<std::string> answered;
   TimePoint zoneBeatAt;
   TimePoint farBeatAt;
   TimePoint metAt;
@@ -48,6 +55,7 @@
     , events(std::move(aEvents))
     , near(aIdentity.self)
     , zones(aClock.Now())
+    , startedAt(aClock.Now())
     , metAt(aClock.Now())
   {
   }
@@ -63,7 +71,7 @@
       far.Learn(aHost);
       zones.Learn(aHost.zone);
     } else if (near.Learn(aHost, clock.Now())) {
-      Greet(aHost.ToEndpoint());
+      Send(aHost.ToEndpoint(), EncodeBeat(MakeBeat()));
     }
   }
 
@@ -86,13 +94,6 @@
     socket->Send(aTo, aBytes);
   }
 
-  void Greet(const Endpoint& aTo)
-  {
-    PeerBeat beat = MakeBeat();
-    beat.greeting = true;
-    Send(aTo, EncodeBeat(beat));
-  }
-
   std::vector<OwnerCandidate> Candidates() const
   {
     return near.Candidates(clock.Now(), events.state().leaving);
@@ -169,6 +170,7 @@
   void Tick(const std::vector<LoadReading>& aReadings)
   {
     const TimePoint now = clock.Now();
+    GreetSeeds();
     if (zoneBeatAt + near.BeatPeriod() <= now) {
       BeatZone(aReadings);
     }
@@ -194,6 +196,9 @@
       return;
     }
     const TimePoint now = clock.Now();
+    if (now <= startedAt + kSeedPatience) {
+      answered.insert(beat.from.address);
+    }
     for (const PeerAddress& member : beat.members) {
       OnMember(beat, member);
     }
@@ -254,9 +259,10 @@
     Send(aTo.ToEndpoint(), EncodeBeat(beat));
   }
 
+  /** Tells a starting host of its zone's hosts and of others' speakers. */
   void AnswerGreeting(const PeerAddress& aTo)
   {
-    std::vector<PeerAddress> members = far.All();
+    std::vector<PeerAddress> members = far.Introductions(aTo.zone, clock.Now());
     for (const Peer* peer : near.Alive(clock.Now())) {
       members.push_back(peer->address);
     }
@@ -273,6 +279,22 @@
     }
     Send(aTo.ToEndpoint(), EncodeBeat(beat));
   }
+
+  /** Asks each seed that has not answered yet. */
+  void GreetSeeds()
+  {
+    const TimePoint now = clock.Now();
+    if (now > startedAt + kSeedPatience) {
+      return;
+    }
+    for (const Endpoint& seed : identity.seeds) {
+      if (answered.count(seed.address) == 0) {
+        PeerBeat beat = MakeBeat();
+        beat.greeting = true;
+        Send(seed, EncodeBeat(beat));
+      }
+    }
+  }
 };
 
 PeerExchange::PeerExchange(std::unique_ptr<Impl> aImpl)
@@ -306,11 +328,9 @@
   }
 }
 
-void PeerExchange::GreetSeeds()
+bool PeerExchange::HasHeard() const
 {
-  for (const Endpoint& seed : impl_->identity.seeds) {
-    impl_->Greet(seed);
-  }
+  return impl_->received > 0;
 }
 
 void PeerExchange::Tick(const std::vector<LoadReading>& aOwnReadings)
--- a/src/fleet/PeerExchange.h
+++ b/src/fleet/PeerExchange.h
@@ -48,11 +48,11 @@
   PeerExchange(const PeerExchange&) = delete;
   PeerExchange& operator=(const PeerExchange&) = delete;
 
-  /** A list names hosts; those of the zone are greeted. */
+  /** A list names hosts. */
   void Learn(const std::vector<PeerAddress>& aHosts);
 
-  /** Asks the seeds whom they know. */
-  void GreetSeeds();
+  /** Whether any other host was heard since the start. */
+  bool HasHeard() const;
 
   /** One step of time: beats that are due, and hosts that are forgotten. */
   void Tick(const std::vector<LoadReading>& aOwnReadings);
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "gateway/OwnAnswer.h"
+#include "http/AsyncRead.h"
 #include "http/HopFields.h"
 #include "http/MessageBytes.h"
 #include "http/SocketOptions.h"
@@ -70,6 +71,8 @@
 {
   ++state_.Counters().connections;
   SetStreamOptions(socket_);
+  asio::error_code ignored;
+  socket_.non_blocking(true, ignored);
   const CallerLimits limits = Limits();
   parser_.SetLimits({ limits.maxHead, limits.maxBody });
   ArmReadTimer();
@@ -109,16 +112,16 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-    asio::buffer(buffer_),
-    [self = shared_from_this()](const asio::error_code& aError,
-                                std::size_t aCount) {
-      self->reading_ = false;
-      self->OnRead(aError, aCount);
-    });
+  AsyncRead(socket_,
+            [self = shared_from_this()](const asio::error_code& aError,
+                                        std::string_view aBytes) {
+              self->reading_ = false;
+              self->OnRead(aError, aBytes);
+            });
 }
 
-void CallerSession::OnRead(const asio::error_code& aError, std::size_t aCount)
+void CallerSession::OnRead(const asio::error_code& aError,
+                           std::string_view aBytes)
 {
   if (stage_ == Stage::kClosed) {
     return;
@@ -134,7 +137,7 @@
     Read();
     return;
   }
-  pending_.append(buffer_.data(), aCount);
+  pending_.append(aBytes);
   if (stage_ == Stage::kReading) {
     Consume();
   }
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -8,10 +8,10 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace lacewing {
 
@@ -44,7 +44,7 @@
   };
 
   void Read();
-  void OnRead(const asio::error_code& aError, std::size_t aCount);
+  void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Consume();
   void OnParseFailure();
   void SendContinue();
@@ -64,7 +64,6 @@
   std::function<void(CallerSession*)> onClosed_;
   asio::steady_timer timer_;
   MessageParser parser_;
-  std::array<char, 4096> buffer_{};
   /** Bytes behind the request in progress. */
   std::string pending_;
   std::shared_ptr<Exchange> exchange_;
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpConnection.h"
 
+#include "http/AsyncRead.h"
 #include "http/MessageBytes.h"
 #include "http/MessageParser.h"
 #include "http/SocketOptions.h"
@@ -10,7 +11,6 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
-#include <array>
 #include <cassert>
 #include <charconv>
 #include <string>
@@ -21,8 +21,6 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 4096;
-
 /** Reads "timeout=5" out of a Keep-Alive value. */
 std::optional<Duration> KeepAliveTimeout(const std::string& aValue)
 {
@@ -59,7 +57,6 @@
   asio::ip::tcp::socket socket;
   asio::steady_timer connectTimer;
   MessageParser parser;
-  std::array<char, kReadSize> buffer{};
   Phase phase = Phase::kNew;
   bool reading = false;
   bool writing = false;
@@ -150,6 +147,8 @@
       return;
     }
     SetStreamOptions(socket);
+    asio::error_code ignored;
+    socket.non_blocking(true, ignored);
     phase = Phase::kOpen;
     Write();
     Read();
@@ -190,16 +189,15 @@
       return;
     }
     reading = true;
-    socket.async_read_some(
-      asio::buffer(buffer),
-      [self = shared_from_this()](const asio::error_code& aError,
-                                  std::size_t aCount) {
-        self->reading = false;
-        self->OnRead(aError, aCount);
-      });
+    AsyncRead(socket,
+              [self = shared_from_this()](const asio::error_code& aError,
+                                          std::string_view aBytes) {
+                self->reading = false;
+                self->OnRead(aError, aBytes);
+              });
   }
 
-  void OnRead(const asio::error_code& aError, std::size_t aCount)
+  void OnRead(const asio::error_code& aError, std::string_view aBytes)
   {
     if (phase != Phase::kOpen) {
       return;
@@ -216,7 +214,7 @@
       Finish(ExchangeEnd::kLost, "read: " + aError.message());
       return;
     }
-    Consume({ buffer.data(), aCount });
+    Consume(aBytes);
   }
 
   void EndIdle()
--- /dev/null
+++ b/src/http/ReadBuffer.cpp
@@ -0,0 +1,11 @@
+#include "http/ReadBuffer.h"
+
+namespace lacewing {
+
+ReadBuffer& ThreadReadBuffer()
+{
+  thread_local ReadBuffer buffer;
+  return buffer;
+}
+
+} // namespace lacewing
--- a/src/http/SmallHttpServer.cpp
+++ b/src/http/SmallHttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/SmallHttpServer.h"
 
+#include "http/AsyncRead.h"
 #include "http/MessageBytes.h"
 #include "http/MessageParser.h"
 #include "http/SocketOptions.h"
@@ -10,7 +11,6 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
-#include <array>
 #include <string>
 #include <utility>
 
@@ -36,6 +36,8 @@
   void Start()
   {
     SetStreamOptions(socket_);
+    asio::error_code ignored;
+    socket_.non_blocking(true, ignored);
     Read();
   }
 
@@ -56,15 +58,14 @@
   void Read()
   {
     ArmTimer();
-    socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](const asio::error_code& aError,
-                                  std::size_t aCount) {
-        if (!aError) {
-          self->pending_.append(self->buffer_.data(), aCount);
-          self->Consume();
-        }
-      });
+    AsyncRead(socket_,
+              [self = shared_from_this()](const asio::error_code& aError,
+                                          std::string_view aBytes) {
+                if (!aError) {
+                  self->pending_.append(aBytes);
+                  self->Consume();
+                }
+              });
   }
 
   void Consume()
@@ -107,7 +108,6 @@
   asio::steady_timer timer_;
   MessageParser parser_;
   SmallHttpServer::Handler handler_;
-  std::array<char, 1024> buffer_{};
   std::string pending_;
   std::string out_;
   bool keepAlive_ = true;
