--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,5 +1,8 @@
 #include "core/Log.h"
 
+#include "core/BoundedLog.h"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -9,6 +12,7 @@
 
 #include <array>
 #include <memory>
+#include <unistd.h>
 #include <utility>
 
 namespace lacewing {
@@ -37,6 +41,38 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
+// About two seconds of lines at a thousand requests a second.
+constexpr std::size_t kMaxWaitingBytes = 256U << 10U;
+
+BoundedLog& OutputLog()
+{
+  static BoundedLog log(STDOUT_FILENO, kMaxWaitingBytes);
+  return log;
+}
+
+/** Hands formatted lines to OutputLog(). */
+class OutputAppender final : public log4cplus::Appender
+{
+public:
+  ~OutputAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    OutputLog().Add(formatEvent(aEvent));
+  }
+};
+
+log4cplus::SharedAppenderPtr MakeAppender(LogStream aStream)
+{
+  if (aStream == LogStream::kStandardOutput) {
+    return log4cplus::SharedAppenderPtr(new OutputAppender);
+  }
+  return log4cplus::SharedAppenderPtr(
+    new log4cplus::ConsoleAppender(true, true));
+}
+
 log4cplus::Logger& RootLogger()
 {
   static log4cplus::Logger logger = log4cplus::Logger::getRoot();
@@ -86,8 +122,7 @@
 void StartLogging(LogLevel aLevel, LogStream aStream)
 {
   static log4cplus::Initializer initializer;
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(aStream == LogStream::kStandardError, true));
+  const log4cplus::SharedAppenderPtr appender = MakeAppender(aStream);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
     LOG4CPLUS_TEXT("%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
   RootLogger().removeAllAppenders();
@@ -95,6 +130,11 @@
   RootLogger().setLogLevel(ToLibraryLevel(aLevel));
 }
 
+void FlushLog()
+{
+  OutputLog().Flush();
+}
+
 void Log(LogLevel aLevel,
          const std::string& aEvent,
          std::initializer_list<LogField> aFields)
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -21,7 +21,9 @@
 /** Where log lines go. */
 enum class LogStream
 {
+  /** Each line is written at once. */
   kStandardError,
+  /** Lines wait for FlushLog(), bounded, and never block. */
   kStandardOutput,
 };
 
@@ -32,6 +34,9 @@
 void StartLogging(LogLevel aLevel,
                   LogStream aStream = LogStream::kStandardError);
 
+/** Writes the lines that wait. */
+void FlushLog();
+
 /** Writes one line; values with spaces or quotes are quoted. */
 void Log(LogLevel aLevel,
          const std::string& aEvent,
--- a/src/fleet/CatalogPuller.cpp
+++ b/src/fleet/CatalogPuller.cpp
@@ -56,6 +56,10 @@
   const Clock& clock;
   Handler handler;
   std::unique_ptr<HttpCaller> caller;
+  /** The last answer, and the revisions between which it holds all. */
+  std::string packed;
+  std::vector<Revision> packedAfter;
+  std::vector<Revision> packedAt;
 
   void OnAnswer(const ExchangeResult& aResult)
   {
@@ -83,7 +87,8 @@
 CatalogPuller::CatalogPuller(asio::io_context& aContext,
                              const Clock& aClock,
                              Handler aHandler)
-  : impl_(new Impl{ aContext, aClock, std::move(aHandler), nullptr })
+  : impl_(
+      new Impl{ aContext, aClock, std::move(aHandler), nullptr, {}, {}, {} })
 {
 }
 
@@ -131,13 +136,22 @@
     answer.head.status = 400;
     return answer;
   }
-  CatalogPull pull;
+  std::vector<Revision> reached;
   for (const CatalogKind kind : kCatalogKinds) {
-    pull.parts.push_back(aReplica.Since(kind, (*known)[IndexOf(kind)]));
+    reached.push_back(aReplica.RevisionOf(kind));
+  }
+  if (impl_->packedAfter != *known || impl_->packedAt != reached) {
+    CatalogPull pull;
+    for (const CatalogKind kind : kCatalogKinds) {
+      pull.parts.push_back(aReplica.Since(kind, (*known)[IndexOf(kind)]));
+    }
+    impl_->packed = EncodePull(pull);
+    impl_->packedAfter = *known;
+    impl_->packedAt = std::move(reached);
   }
   answer.head.status = 200;
-  answer.head.fields.Add("Content-Type", "application/cbor");
-  answer.body = EncodePull(pull);
+  answer.head.fields.Add("Content-Type", "application/octet-stream");
+  answer.body = impl_->packed;
   return answer;
 }
 
--- a/src/fleet/CatalogPuller.h
+++ b/src/fleet/CatalogPuller.h
@@ -32,9 +32,12 @@
   /** Asks a peer for all after aKnown; does nothing while a pull runs. */
   void Pull(const Endpoint& aPeer, const std::vector<Revision>& aKnown);
 
-  /** A peer's answer to such a request; 400 when it cannot be read. */
-  static HttpMessage Answer(const HttpMessage& aRequest,
-                            const CatalogReplica& aReplica);
+  /**
+   * A peer's answer to such a request; 400 when it cannot be read. Peers that
+   * ask for the same share one packed body.
+   */
+  HttpMessage Answer(const HttpMessage& aRequest,
+                     const CatalogReplica& aReplica);
 
   /** The path of a pull, without the query. */
   static const char* Path();
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -348,9 +348,9 @@
   impl_->duties.Rebuild(impl_->view, *impl_->peers);
 }
 
-HttpMessage FleetControl::AnswerPull(const HttpMessage& aRequest) const
+HttpMessage FleetControl::AnswerPull(const HttpMessage& aRequest)
 {
-  return CatalogPuller::Answer(aRequest, impl_->replica);
+  return impl_->puller.Answer(aRequest, impl_->replica);
 }
 
 std::string FleetControl::MetricsText() const
--- a/src/fleet/FleetControl.h
+++ b/src/fleet/FleetControl.h
@@ -50,7 +50,7 @@
   void SetColdTerms(const ColdTerms& aTerms);
 
   /** Answers a peer's catalog pull. */
-  HttpMessage AnswerPull(const HttpMessage& aRequest) const;
+  HttpMessage AnswerPull(const HttpMessage& aRequest);
 
   /** The control thread's metrics as text. */
   std::string MetricsText() const;
--- a/src/fleet/PeerCodec.cpp
+++ b/src/fleet/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "fleet/PeerCodec.h"
 
 #include "core/CborBounds.h"
+#include "core/Deflate.h"
 #include "wire/WireValue.h"
 
 #include <nlohmann/json.hpp>
@@ -49,12 +50,13 @@
 
 std::string EncodePull(const CatalogPull& aPull)
 {
-  return Encode(aPull);
+  return Deflate(Encode(aPull));
 }
 
 Outcome<CatalogPull> DecodePull(std::string_view aBytes)
 {
-  return Decode<CatalogPull>(aBytes, kPullBounds);
+  BOOST_OUTCOME_TRY(const auto unpacked, Inflate(aBytes, kPullBounds.maxBytes));
+  return Decode<CatalogPull>(unpacked, kPullBounds);
 }
 
 } // namespace lacewing
--- a/src/fleet/PeerCodec.h
+++ b/src/fleet/PeerCodec.h
@@ -11,7 +11,11 @@
 
 namespace lacewing {
 
-/** Messages between hosts as CBOR; errors are kInvalidMessage, kTooLarge. */
+/**
+ * Messages between hosts as CBOR; pulls are packed, since a configuration of
+ * some hundred routes would hold a slow link for seconds. Errors are
+ * kInvalidMessage and kTooLarge.
+ */
 std::string EncodeBeat(const PeerBeat& aBeat);
 Outcome<PeerBeat> DecodeBeat(std::string_view aBytes);
 std::string EncodePull(const CatalogPull& aPull);
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -23,6 +23,8 @@
 // Requests that arrive later find a host that will not live to answer them:
 // the longest ones take some seconds of the grace time.
 constexpr Duration kRefuseAfter = std::chrono::milliseconds(3000);
+// Log lines wait at most this long.
+constexpr Duration kLogPeriod = std::chrono::milliseconds(200);
 // How often a stopping host looks whether all requests have ended.
 constexpr Duration kStopCheck = std::chrono::milliseconds(50);
 // Left of the grace time for leaving in order.
@@ -54,6 +56,7 @@
   std::unique_ptr<SmallHttpServer> peerServer;
   std::unique_ptr<SmallHttpServer> metricsServer;
   asio::steady_timer stopTimer;
+  asio::steady_timer logTimer;
   TimePoint stopAt;
   bool stopping = false;
   bool idleClosed = false;
@@ -65,6 +68,7 @@
     , clock(aClock)
     , options(aOptions)
     , stopTimer(aContext)
+    , logTimer(aContext)
   {
   }
 
@@ -86,6 +90,7 @@
       peerServer, Serve(options.identity.self.ToEndpoint(), &Impl::ServePeer));
     BOOST_OUTCOME_TRY(metricsServer,
                       Serve(options.metrics, &Impl::ServeMetrics));
+    ScheduleLogFlush();
     return outcome::success();
   }
 
@@ -103,6 +108,17 @@
       });
   }
 
+  void ScheduleLogFlush()
+  {
+    logTimer.expires_after(kLogPeriod);
+    logTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        FlushLog();
+        ScheduleLogFlush();
+      }
+    });
+  }
+
   void ServeReady(const HttpMessage& aRequest,
                   SmallHttpServer::Responder aRespond)
   {
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -69,6 +69,32 @@
   }
 }
 
+// Guards against a large configuration that holds a slow link for seconds
+// (CONFIG on trinacria-badges-grown trouble-3), and against bytes that unpack
+// without end.
+TEST_CASE("fleet: pulls are packed and bounded")
+{
+  std::string configuration = "{\"routes\":[";
+  for (int i = 0; i < 850; ++i) {
+    configuration += R"({"host":"cuse46.example","kind":"safe","name":"r-)" +
+                     std::to_string(i) + R"(","path_prefix":"/lemi)" +
+                     std::to_string(i * 37) +
+                     R"(/","timeout_s":1.2,"service":"yezi9a"},)";
+  }
+  CatalogPull pull;
+  pull.parts.resize(3);
+  pull.parts[0].items = { { "main", Revision(7), false, configuration } };
+  const std::string packed = EncodePull(pull);
+  CHECK(packed.size() < configuration.size() / 5);
+  const auto unpacked = DecodePull(packed);
+  REQUIRE(unpacked);
+  CHECK(unpacked.value().parts[0].items[0].body == configuration);
+  CHECK_FALSE(DecodePull(packed.substr(0, packed.size() / 2)));
+  CHECK_FALSE(DecodePull("no packed bytes"));
+  pull.parts[0].items[0].body.assign(9U << 20U, 'x');
+  CHECK_FALSE(DecodePull(EncodePull(pull)));
+}
+
 // Guards against tasks at a host that fell silent, and against cold quotas
 // that forget that it may still run behind a cut.
 TEST_CASE("fleet: a silent host loses its tasks and counts as behind a cut")
