Wait at the entry host instead of queueing at targets

Change: a search takes no target whose slots are all taken; a request without a target looks again each 25 ms for an eighth of its objective and is then refused as not run. Under pressure (a fifth of searches without room) hosts ask fewer targets and send no second attempts.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -23,8 +23,10 @@
 // byte may go beyond the route's attempts.
 constexpr unsigned kMaxTries = 6;
 // Part of the latency objective for which a request without a target waits
-// for one; the rules count longer waits as held up.
-constexpr int kWaitDivisor = 10;
+// for one; beyond an eighth it counts as held up.
+constexpr int kWaitDivisor = 8;
+// How often a waiting request looks again; load shifts within milliseconds.
+constexpr Duration kLookAgain = std::chrono::milliseconds(25);
 // Callers come back no sooner; long enough for readings to change.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
 // The sender's patience when it states none beyond the route's timeout.
@@ -143,8 +145,10 @@
              true);
     return;
   }
-  // A second attempt that cannot end in time only adds load.
-  if (state_.Now() + work > deadline_) {
+  // A second attempt that cannot end in time, or that takes the room of first
+  // attempts, only adds load.
+  if (state_.Now() + work > deadline_ ||
+      state_.PressureOf(service_).High(state_.Now())) {
     return;
   }
   const auto fleet = state_.Fleet();
@@ -319,17 +323,17 @@
 
 void Exchange::WaitForRoom()
 {
-  if (waited_) {
+  const TimePoint until = startedAt_ + route_->latencyObjective / kWaitDivisor;
+  if (state_.Now() + kLookAgain > std::min(until, deadline_)) {
     FinishOwn(OwnAnswerKind::kRefused);
     return;
   }
-  waited_ = true;
-  stepTimer_.expires_after(route_->latencyObjective / kWaitDivisor);
+  stepTimer_.expires_after(kLookAgain);
   stepTimer_.async_wait(
     [self = weak_from_this()](const asio::error_code& aError) {
       const auto exchange = self.lock();
       if (!aError && exchange && !exchange->done_ && !exchange->Seek()) {
-        exchange->FinishOwn(OwnAnswerKind::kRefused);
+        exchange->WaitForRoom();
       }
     });
 }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -93,7 +93,6 @@
   TargetScout scout_;
   asio::steady_timer deadlineTimer_;
   asio::steady_timer stepTimer_;
-  bool waited_ = false;
   bool abandoned_ = false;
   bool done_ = false;
 };
--- a/src/gateway/TargetScout.cpp
+++ b/src/gateway/TargetScout.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kAskedFirst = 2;
 constexpr std::size_t kAskedNext = 3;
 constexpr unsigned kMaxRounds = 3;
+constexpr unsigned kMaxRoundsUnderPressure = 2;
 // A healthy target answers a probe within some milliseconds.
 constexpr Duration kRoundTime = std::chrono::milliseconds(25);
 // Answers that come later than the choice are waited for this long.
@@ -47,6 +48,7 @@
   std::vector<FleetTarget> ranked;
   std::size_t next = 0;
   unsigned rounds = 0;
+  unsigned maxRounds = kMaxRounds;
   std::string healthPath;
   std::vector<std::unique_ptr<Question>> questions;
   bool done = false;
@@ -74,6 +76,9 @@
       return false;
     }
     healthPath = spec->healthPath;
+    if (state.PressureOf(service).High(context.now)) {
+      maxRounds = kMaxRoundsUnderPressure;
+    }
     std::vector<Candidate> candidates;
     candidates.reserve(targets->second.size());
     for (const FleetTarget& target : targets->second) {
@@ -97,7 +102,7 @@
 
   void NextRound()
   {
-    if (rounds == kMaxRounds || next == ranked.size()) {
+    if (rounds >= maxRounds || next == ranked.size()) {
       Settle();
       return;
     }
@@ -156,6 +161,7 @@
       return;
     }
     if (IsGood(aQuestion)) {
+      state.PressureOf(service).OnFound(context.now);
       Take(aQuestion);
       return;
     }
@@ -207,15 +213,22 @@
         continue;
       }
       const Choice choice = Judge(question->target);
+      // A request that queues at a target holds its caller for a whole service
+      // time of another one; it waits here, where a free target ends the wait.
+      if (choice.busy >= question->target.spec.slots.value()) {
+        continue;
+      }
       if (best == nullptr || choice.expected < bestChoice.expected) {
         best = question.get();
         bestChoice = choice;
       }
     }
     if (best != nullptr) {
+      state.PressureOf(service).OnFound(context.now);
       Take(*best);
       return;
     }
+    state.PressureOf(service).OnNoRoom(context.now);
     Finish(std::nullopt);
   }
 
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -4,6 +4,7 @@
 #include "balance/FleetSnapshot.h"
 #include "balance/LoadSnapshot.h"
 #include "balance/LocalView.h"
+#include "balance/Pressure.h"
 #include "balance/RepeatWindow.h"
 #include "balance/SplitCursor.h"
 #include "balance/TargetChooser.h"
@@ -46,6 +47,12 @@
   SplitCursor& SplitOf(const RouteName& aRoute) { return splits_[aRoute]; }
   RouteLearning& LearningOf(const RouteSpec& aRoute);
 
+  /** Whether searches for targets of the service find room. */
+  Pressure& PressureOf(const ServiceId& aService)
+  {
+    return pressure_[aService];
+  }
+
   /** The process is leaving: answers close their connections. */
   bool Draining() const { return draining_; }
   void BeginDrain() { draining_ = true; }
@@ -68,6 +75,7 @@
   GatewayCounters counters_;
   std::map<TargetId, LocalView> views_;
   std::map<ServiceId, RepeatWindow> repeats_;
+  std::map<ServiceId, Pressure> pressure_;
   std::map<RouteName, SplitCursor> splits_;
   std::map<RouteName, RouteLearning> learning_;
   bool draining_ = false;
