--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -13,6 +13,10 @@
 
 // The span over which neighbours' load on a target's machine changes.
 constexpr double kSlowdownMemorySeconds = 0.3;
+// The span over which the requests at a target change, about one service time.
+constexpr double kBusyMemorySeconds = 0.15;
+// Share of its slots that a target usually has taken.
+constexpr double kUsualBusy = 0.3;
 // Share of a slowdown that is expected to stay for the whole request.
 constexpr double kSlowdownKept = 0.6;
 // A target in a cold start works at about half its speed.
@@ -55,6 +59,18 @@
   return std::max(1 + (slowdown - 1) * kept, 0.2);
 }
 
+/**
+ * Requests that are expected there by now: an old figure fades towards the
+ * usual, or all hosts would send to the targets that were idle last.
+ */
+double ExpectedBusy(const Choice& aChoice, double aSlots)
+{
+  const double usual = aSlots * kUsualBusy;
+  const double kept =
+    std::exp(-Seconds(aChoice.readingAge) / kBusyMemorySeconds);
+  return usual + (aChoice.busy - usual) * kept;
+}
+
 Choice Estimate(const ChoiceContext& aContext, const Candidate& aCandidate)
 {
   const bool warm = IsWarm(aCandidate, aContext.now);
@@ -75,7 +91,7 @@
     penalty += reading->state == ReadingState::kRefusing ? kRefusingSeconds : 0;
     penalty += reading->state == ReadingState::kSilent ? kSilentSeconds : 0;
   }
-  const double busy = choice.busy;
+  const double busy = ExpectedBusy(choice, slots);
   if (busy + 1 > slots * kNearlyFull) {
     factor *= kNearlyFullFactor;
   }
