Let searches leave the zone after the first round

Cause: with fading figures all questions went to full targets of the own zone. Change: after the first round one local and two targets of other zones are asked.

--- a/src/gateway/TargetScout.cpp
+++ b/src/gateway/TargetScout.cpp
@@ -17,7 +17,10 @@
 // quarters of targets are at their usual speed at any moment, so two rounds
 // find one in nearly all cases.
 constexpr std::size_t kAskedFirst = 2;
-constexpr std::size_t kAskedNext = 3;
+// Where the first ones are full or slow their zone may be, so that most of the
+// next ones are in other zones.
+constexpr std::size_t kAskedNextLocal = 1;
+constexpr std::size_t kAskedNextFar = 2;
 constexpr unsigned kMaxRounds = 3;
 constexpr unsigned kMaxRoundsUnderPressure = 2;
 // A healthy target answers a probe within some milliseconds.
@@ -44,9 +47,8 @@
   ChoiceContext context;
   Handler handler;
   asio::steady_timer timer;
-  /** Candidates of the snapshot at the start, best first. */
+  /** Candidates that were not asked, the best first. */
   std::vector<FleetTarget> ranked;
-  std::size_t next = 0;
   unsigned rounds = 0;
   unsigned maxRounds = kMaxRounds;
   std::string healthPath;
@@ -102,18 +104,35 @@
 
   void NextRound()
   {
-    if (rounds >= maxRounds || next == ranked.size()) {
+    if (rounds >= maxRounds || ranked.empty()) {
       Settle();
       return;
     }
-    const std::size_t asked = rounds == 0 ? kAskedFirst : kAskedNext;
-    ++rounds;
-    for (std::size_t i = 0; i < asked && next < ranked.size(); ++i) {
-      Ask(ranked[next++]);
+    const bool first = rounds++ == 0;
+    AskNext(first ? kAskedFirst : kAskedNextLocal, &Search::IsAny);
+    if (!first) {
+      AskNext(kAskedNextFar, &Search::IsFar);
     }
     ArmTimer();
   }
 
+  static bool IsAny(const FleetTarget&) { return true; }
+  static bool IsFar(const FleetTarget& aTarget) { return !aTarget.local; }
+
+  /** Asks the best that fit and were not asked yet. */
+  void AskNext(std::size_t aCount, bool (*aFits)(const FleetTarget&))
+  {
+    for (std::size_t i = 0; i < aCount; ++i) {
+      const auto best = std::find_if(ranked.begin(), ranked.end(), aFits);
+      if (best == ranked.end()) {
+        return;
+      }
+      const FleetTarget target = *best;
+      ranked.erase(best);
+      Ask(target);
+    }
+  }
+
   void ArmTimer()
   {
     timer.expires_after(kRoundTime);
