Admit only what good targets can take while a service is under pressure

Change: while a fifth of searches find no good target, least urgent routes take only quiet targets below their last slots, others quiet targets; the rest waits an eighth of its objective and is refused with a Retry-After of a third of it.

--- a/src/balance/ChoiceContext.h
+++ b/src/balance/ChoiceContext.h
@@ -1,6 +1,7 @@
 #ifndef BALANCE_CHOICECONTEXT_H
 #define BALANCE_CHOICECONTEXT_H
 
+#include "balance/Demand.h"
 #include "lacewing/ByteCount.h"
 #include "lacewing/Clock.h"
 
@@ -12,6 +13,8 @@
   TimePoint now;
   /** How long the work usually takes on an idle target. */
   Duration usualWork = std::chrono::milliseconds(200);
+  /** What is taken when no target is good. */
+  Demand demand = Demand::kAny;
   /** Bytes of the request and the expected answer. */
   ByteCount bytes;
 };
--- /dev/null
+++ b/src/balance/Demand.h
@@ -0,0 +1,19 @@
+#ifndef BALANCE_DEMAND_H
+#define BALANCE_DEMAND_H
+
+namespace lacewing {
+
+/** What a target must be like to get a request. */
+enum class Demand
+{
+  /** A slot is free. */
+  kAny,
+  /** A slot is free, and work takes about its usual time. */
+  kQuiet,
+  /** Quiet, and not nearly full. */
+  kGood,
+};
+
+} // namespace lacewing
+
+#endif // BALANCE_DEMAND_H
--- a/src/balance/Pressure.cpp
+++ b/src/balance/Pressure.cpp
@@ -7,33 +7,33 @@
 // Load shifts within milliseconds; some ten searches of a host count.
 constexpr Duration kHalfLife = std::chrono::milliseconds(700);
 constexpr double kMostCounted = 1000;
-// A few searches without room are luck; a fifth of them are not.
+// A few searches that find no good target are luck; a fifth of them are not.
 constexpr double kHighShare = 0.2;
 constexpr double kLeastSearches = 2;
 
 } // namespace
 
 Pressure::Pressure()
-  : found_(kHalfLife)
-  , noRoom_(kHalfLife)
+  : good_(kHalfLife)
+  , noneGood_(kHalfLife)
 {
 }
 
-void Pressure::OnFound(TimePoint aNow)
+void Pressure::OnGood(TimePoint aNow)
 {
-  found_.Add(aNow, 1, kMostCounted);
+  good_.Add(aNow, 1, kMostCounted);
 }
 
-void Pressure::OnNoRoom(TimePoint aNow)
+void Pressure::OnNoneGood(TimePoint aNow)
 {
-  noRoom_.Add(aNow, 1, kMostCounted);
+  noneGood_.Add(aNow, 1, kMostCounted);
 }
 
 bool Pressure::High(TimePoint aNow) const
 {
-  const double noRoom = noRoom_.At(aNow);
-  const double all = noRoom + found_.At(aNow);
-  return all >= kLeastSearches && noRoom > kHighShare * all;
+  const double noneGood = noneGood_.At(aNow);
+  const double all = noneGood + good_.At(aNow);
+  return all >= kLeastSearches && noneGood > kHighShare * all;
 }
 
 } // namespace lacewing
--- a/src/balance/Pressure.h
+++ b/src/balance/Pressure.h
@@ -7,22 +7,23 @@
 namespace lacewing {
 
 /**
- * How often searches lately found no target with room. Under pressure, second
- * attempts and many questions take room from first attempts.
+ * How often searches lately found no good target: quiet and not nearly full.
+ * Under pressure, second attempts, last slots and many questions take room
+ * from first attempts.
  */
 class Pressure
 {
 public:
   Pressure();
 
-  void OnFound(TimePoint aNow);
-  void OnNoRoom(TimePoint aNow);
+  void OnGood(TimePoint aNow);
+  void OnNoneGood(TimePoint aNow);
 
   bool High(TimePoint aNow) const;
 
 private:
-  DecayingValue found_;
-  DecayingValue noRoom_;
+  DecayingValue good_;
+  DecayingValue noneGood_;
 };
 
 } // namespace lacewing
--- a/src/catalog/RouteTable.cpp
+++ b/src/catalog/RouteTable.cpp
@@ -57,6 +57,7 @@
   table->limits_ = aLimits;
   table->routes_ = std::move(aRoutes);
   for (const RouteSpec& route : table->routes_) {
+    table->leastUrgent_ = std::max(table->leastUrgent_, route.priority);
     table->byHost_[HostKey(route.host)].push_back(&route);
   }
   for (auto& [host, routes] : table->byHost_) {
--- a/src/catalog/RouteTable.h
+++ b/src/catalog/RouteTable.h
@@ -28,6 +28,8 @@
 
   ConfigVersion Version() const { return version_; }
   const CallerLimits& Limits() const { return limits_; }
+  /** The priority of the least urgent routes. */
+  Priority LeastUrgent() const { return leastUrgent_; }
   std::size_t RouteCount() const { return routes_.size(); }
 
   /**
@@ -44,6 +46,7 @@
 
   ConfigVersion version_;
   CallerLimits limits_;
+  Priority leastUrgent_;
   std::vector<RouteSpec> routes_;
   /** By host in lower case; the longest prefixes first. */
   std::unordered_map<std::string, std::vector<const RouteSpec*>> byHost_;
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -27,7 +27,9 @@
 constexpr int kWaitDivisor = 8;
 // How often a waiting request looks again; load shifts within milliseconds.
 constexpr Duration kLookAgain = std::chrono::milliseconds(25);
-// Callers come back no sooner; long enough for readings to change.
+// Callers come back after this part of the route's objective, in which several
+// other requests end; without a route, after a fixed time.
+constexpr int kRetryDivisor = 3;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
 // The sender's patience when it states none beyond the route's timeout.
 constexpr Duration kLongest = std::chrono::hours(1);
@@ -167,6 +169,7 @@
   ChoiceContext context;
   context.now = state_.Now();
   context.usualWork = learning.UsualWork();
+  context.demand = DemandNow();
   context.bytes = ByteCount(body_ ? body_->size() : 0) + learning.AnswerBytes();
   return scout_.Find(
     service_, context, tried_, [this](std::optional<FoundTarget> aFound) {
@@ -174,6 +177,20 @@
     });
 }
 
+/**
+ * Under pressure requests on last slots and slowed targets take the room of
+ * several others, so that a short overload would last; routes above the least
+ * urgent ones may still use last slots.
+ */
+Demand Exchange::DemandNow() const
+{
+  if (!state_.PressureOf(service_).High(state_.Now())) {
+    return Demand::kAny;
+  }
+  return route_->priority == routes_->LeastUrgent() ? Demand::kGood
+                                                    : Demand::kQuiet;
+}
+
 void Exchange::OnFound(std::optional<FoundTarget> aFound)
 {
   if (done_) {
@@ -357,7 +374,8 @@
   switch (aKind) {
     case OwnAnswerKind::kRefused:
       ++counters.refused;
-      retryAfter = kRetryAfter;
+      retryAfter = route_ == nullptr ? kRetryAfter
+                                     : route_->latencyObjective / kRetryDivisor;
       outcome = "refused";
       break;
     case OwnAnswerKind::kTimedOut:
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -48,6 +48,7 @@
 
   /** Looks for a further target; false when there is none to ask. */
   bool Seek();
+  Demand DemandNow() const;
   void OnFound(std::optional<FoundTarget> aFound);
   void Send(FoundTarget aTarget);
   HttpHead RequestHead(const TargetSpec& aTarget) const;
--- a/src/gateway/TargetScout.cpp
+++ b/src/gateway/TargetScout.cpp
@@ -28,7 +28,7 @@
 // Answers that come later than the choice are waited for this long.
 constexpr Duration kLateTime = std::chrono::milliseconds(300);
 // A target at most this slow and full is taken without asking others.
-constexpr unsigned kGoodPercent = 130;
+constexpr unsigned kQuietPercent = 130;
 constexpr double kGoodBusy = 0.8;
 
 } // namespace
@@ -179,8 +179,8 @@
       state.Pool().Put(aQuestion.target.spec, std::move(aQuestion.connection));
       return;
     }
-    if (IsGood(aQuestion)) {
-      state.PressureOf(service).OnFound(context.now);
+    if (Meets(Demand::kGood, aQuestion)) {
+      state.PressureOf(service).OnGood(context.now);
       Take(aQuestion);
       return;
     }
@@ -206,18 +206,28 @@
            Eligibility::kMayGet;
   }
 
-  bool IsGood(const Question& aQuestion)
+  /** Whether the target has answered and meets aDemand. */
+  bool Meets(Demand aDemand, const Question& aQuestion)
   {
-    if (!aQuestion.connection->Reusable() || !MayGet(aQuestion.target)) {
+    if (!aQuestion.answered || !aQuestion.connection ||
+        !aQuestion.connection->Reusable() || !MayGet(aQuestion.target)) {
       return false;
     }
     const LocalView& view = state.ViewOf(aQuestion.target.spec.id);
     const auto reading = view.Newest(nullptr);
     const double slots = aQuestion.target.spec.slots.value();
     const Choice choice = Judge(aQuestion.target);
-    return reading->state == ReadingState::kServing &&
-           choice.slowdownPercent <= kGoodPercent &&
-           choice.busy + 1 <= std::max(1.0, slots * kGoodBusy);
+    const bool quiet = reading->state == ReadingState::kServing &&
+                       choice.slowdownPercent <= kQuietPercent;
+    switch (aDemand) {
+      case Demand::kAny:
+        return choice.busy < slots;
+      case Demand::kQuiet:
+        return quiet && choice.busy < slots;
+      case Demand::kGood:
+        return quiet && choice.busy + 1 <= std::max(1.0, slots * kGoodBusy);
+    }
+    return false;
   }
 
   /** No target is good: takes the best of those that answered. */
@@ -227,27 +237,22 @@
     Question* best = nullptr;
     Choice bestChoice;
     for (const auto& question : questions) {
-      if (!question->answered || !question->connection ||
-          !question->connection->Reusable() || !MayGet(question->target)) {
-        continue;
-      }
-      const Choice choice = Judge(question->target);
       // A request that queues at a target holds its caller for a whole service
       // time of another one; it waits here, where a free target ends the wait.
-      if (choice.busy >= question->target.spec.slots.value()) {
+      if (!Meets(context.demand, *question)) {
         continue;
       }
+      const Choice choice = Judge(question->target);
       if (best == nullptr || choice.expected < bestChoice.expected) {
         best = question.get();
         bestChoice = choice;
       }
     }
+    state.PressureOf(service).OnNoneGood(context.now);
     if (best != nullptr) {
-      state.PressureOf(service).OnFound(context.now);
       Take(*best);
       return;
     }
-    state.PressureOf(service).OnNoRoom(context.now);
     Finish(std::nullopt);
   }
 
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -47,7 +47,7 @@
   SplitCursor& SplitOf(const RouteName& aRoute) { return splits_[aRoute]; }
   RouteLearning& LearningOf(const RouteSpec& aRoute);
 
-  /** Whether searches for targets of the service find room. */
+  /** Whether searches for targets of the service find good ones. */
   Pressure& PressureOf(const ServiceId& aService)
   {
     return pressure_[aService];
