Hear a restarted host though its date went back, in fact; drop stale socket waits

Change: a lower incarnation is refused only while the later run is heard; a wait that a call leaves behind is cancelled, and set again if a new call wants it.

--- a/src/fleet/PeerTable.cpp
+++ b/src/fleet/PeerTable.cpp
@@ -50,10 +50,12 @@
     return false;
   }
   Peer& peer = peers_[aBeat.from.host];
-  if (peer.heardAt && aBeat.incarnation < peer.incarnation) {
+  const bool wasAlive = IsAlive(peer, aNow);
+  // Incarnations come from the date, which may have gone back: a lower one
+  // counts as a late datagram only while the later run is heard.
+  if (wasAlive && aBeat.incarnation < peer.incarnation) {
     return false;
   }
-  const bool wasAlive = IsAlive(peer, aNow);
   const bool changed = !wasAlive || peer.leaving != aBeat.leaving ||
                        peer.incarnation != aBeat.incarnation;
   peer.address = aBeat.from;
--- a/src/net/CurlMulti.cpp
+++ b/src/net/CurlMulti.cpp
@@ -110,8 +110,14 @@
 void CurlMulti::Unwatch(curl_socket_t aSocket)
 {
   const auto entry = watches_.find(aSocket);
-  if (entry != watches_.end()) {
-    entry->second->wanted = 0;
+  if (entry == watches_.end()) {
+    return;
+  }
+  entry->second->wanted = 0;
+  // libcurl may read an answer in a timer's action, before the wait for it has
+  // ended; on an idle kept connection that wait would last until its close.
+  if (entry->second->waiting != 0) {
+    entry->second->descriptor.cancel();
   }
 }
 
@@ -157,6 +163,11 @@
       if ((watch->wanted & aEvent) == 0) {
         return;
       }
+      if (aError == asio::error::operation_aborted) {
+        // Cancelled for an earlier call; a new one wants the event again.
+        alive->self->WaitFor(watch, aEvent);
+        return;
+      }
       const int ready =
         aEvent == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
       alive->self->Act(watch->socket, aError ? CURL_CSELECT_ERR : ready);
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -173,6 +173,18 @@
   CHECK(peers.Alive(clock.Now()).at(0)->incarnation == Incarnation(9));
 }
 
+// Guards against a host that starts again after its date went back and is
+// never heard: its incarnation is lower than that of its earlier run.
+TEST_CASE("fleet: a restarted host is heard though its date went back")
+{
+  ManualClock clock;
+  PeerTable peers(Address("self", "z1"));
+  CHECK(peers.OnBeat(Beat("near", "z1", 9), clock.Now()));
+  clock.Advance(std::chrono::seconds(3));
+  CHECK(peers.OnBeat(Beat("near", "z1", 3), clock.Now()));
+  CHECK(peers.Alive(clock.Now()).size() == 1);
+}
+
 // Guards against a warm reading of a target's earlier start.
 TEST_CASE("fleet: readings from before a target's start are dropped")
 {
