Test lacewing-hostd as a process against a stand-in of the store

Change: HostdTest starts it with settings of the platform's form: it becomes ready, serves, has a new configuration in force within the users' 2 s, finishes a request after SIGTERM and exits 0; traffic goes on through a silent store.

--- /dev/null
+++ b/tests/process/HostdTest.cpp
@@ -0,0 +1,216 @@
+#include "support/BlockingHttp.h"
+#include "support/FreePorts.h"
+#include "support/Process.h"
+#include "support/ScriptedTarget.h"
+#include "support/StoreStandin.h"
+#include "support/TempFile.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <thread>
+
+using namespace lacewing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** The stand-in of the store on a thread of its own. */
+class StoreThread
+{
+public:
+  StoreThread()
+    : guard_(asio::make_work_guard(context_))
+    , store_(context_, { "127.0.0.1", 0 })
+    , thread_([this] { context_.run(); })
+  {
+  }
+
+  ~StoreThread()
+  {
+    context_.stop();
+    thread_.join();
+  }
+
+  template<class Change>
+  void Do(Change aChange)
+  {
+    std::promise<void> done;
+    asio::post(context_, [&] {
+      aChange(store_);
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  Endpoint Address() const { return store_.Address(); }
+
+private:
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> guard_;
+  StoreStandin store_;
+  std::thread thread_;
+};
+
+/** A server of the platform: probes at once, requests after aWork. */
+std::string Serve(const std::string& aHead, std::chrono::milliseconds aWork)
+{
+  if (aHead.rfind("GET /health ", 0) == 0) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+           "Lacewinghoist-Instance-Id: i-1\r\n"
+           "Lacewinghoist-Server-Load: 0,0,6,100\r\n\r\n";
+  }
+  std::this_thread::sleep_for(aWork);
+  const std::string key = "Lacewinghoist-Request-Id: ";
+  const std::size_t at = aHead.find(key);
+  const std::string id =
+    at == std::string::npos
+      ? std::string()
+      : aHead.substr(at, aHead.find("\r\n", at) - at) + "\r\n";
+  return Whole("served", id + "Lacewinghoist-Server-Signature: s\r\n");
+}
+
+nlohmann::json Route(const std::string& aPrefix)
+{
+  return { { "name", aPrefix },        { "host", "127.0.0.1" },
+           { "path_prefix", aPrefix }, { "kind", "unsafe" },
+           { "timeout_s", 3.0 },       { "target_latency_s", 1.0 },
+           { "priority", 1 },          { "max_attempts", 2 },
+           { "service", "s" } };
+}
+
+nlohmann::json Configuration(int aVersion, const nlohmann::json& aRoute)
+{
+  return { { "version", aVersion },
+           { "routes", nlohmann::json::array({ aRoute }) },
+           { "services",
+             nlohmann::json::array({ { { "name", "s" },
+                                       { "health_path", "/health" },
+                                       { "warmup_s", 1.0 },
+                                       { "warmup_per_s", 5.0 } } }) },
+           { "limits", nlohmann::json::object() } };
+}
+
+struct HostdFixture
+{
+  explicit HostdFixture(std::chrono::milliseconds aWork)
+    : server(
+        [aWork](int, const std::string& aHead) { return Serve(aHead, aWork); })
+    , settings(Settings().dump())
+  {
+    store.Do([this](StoreStandin& aStore) {
+      aStore.Put("config", "main", Configuration(1, Route("/a/")));
+      aStore.Put("servers",
+                 "i-1",
+                 { { "service", "s" },
+                   { "address", server.Address().ToString() },
+                   { "zone", "z" },
+                   { "slots", 6 },
+                   { "state", "ready" },
+                   { "born", 1 } });
+    });
+  }
+
+  nlohmann::json Settings() const
+  {
+    return { { "node", "h1" },
+             { "ip", "127.0.0.1" },
+             { "zone", "z" },
+             { "listen",
+               { { "front", ports.At(0).ToString() },
+                 { "ready", ports.At(1).ToString() } } },
+             { "internal_ports", { ports.Port(2), ports.Port(2) } },
+             { "seeds", nlohmann::json::array() },
+             { "bounds", { { "grace_s", 6 } } },
+             { "platform", { { "address", store.Address().ToString() } } } };
+  }
+
+  int Ready() { return StatusAt(ports.At(1), "/-/ready"); }
+
+  static int StatusAt(const Endpoint& aEndpoint, const std::string& aTarget)
+  {
+    const HttpCallResult result = Get(aEndpoint, aTarget);
+    return result.end == HttpCallEnd::kAnswered
+             ? static_cast<int>(result.response.status)
+             : 0;
+  }
+
+  int Post(const std::string& aTarget)
+  {
+    HttpFields fields;
+    fields.Add("Lacewinghoist-Request-Id", "r" + std::to_string(++requests));
+    fields.Add("Lacewinghoist-Deadline-Ms", "5000");
+    const HttpCallResult result =
+      Send("POST", ports.At(0), aTarget, "body", fields);
+    return result.end == HttpCallEnd::kAnswered
+             ? static_cast<int>(result.response.status)
+             : 0;
+  }
+
+  template<class Condition>
+  static bool Within(std::chrono::milliseconds aLimit, Condition aCondition)
+  {
+    const auto end = std::chrono::steady_clock::now() + aLimit;
+    while (!aCondition()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+    return true;
+  }
+
+  FreePorts ports{ 3 };
+  StoreThread store;
+  ScriptedTarget server;
+  TempFile settings;
+  int requests = 0;
+};
+
+} // namespace
+
+// Guards against a host that is not ready though it could serve, that misses a
+// change of the configuration, or that cuts a request off at a planned stop.
+TEST_CASE("hostd: a host serves, follows the store and stops in order")
+{
+  HostdFixture fix(400ms);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  CHECK(fix.Post("/a/x") == 200);
+  CHECK(fix.Post("/b/x") == 404);
+  fix.store.Do([](StoreStandin& aStore) {
+    aStore.Put("config", "main", Configuration(2, Route("/b/")));
+  });
+  // The users' bound for a configuration.
+  CHECK(HostdFixture::Within(2s, [&] { return fix.Post("/b/x") == 200; }));
+  CHECK(fix.Post("/a/x") == 404);
+  std::future<int> inProgress =
+    std::async(std::launch::async, [&] { return fix.Post("/b/last"); });
+  std::this_thread::sleep_for(150ms);
+  hostd.Signal(SIGTERM);
+  CHECK(inProgress.get() == 200);
+  CHECK(fix.Ready() == 503);
+  CHECK(hostd.Wait(6s) == 0);
+  CHECK(hostd.Output().find("event=stopped") != std::string::npos);
+}
+
+// Guards against traffic that ends with the store, and against a reload of the
+// settings that disturbs it.
+TEST_CASE("hostd: traffic goes on through a store outage and a reload")
+{
+  HostdFixture fix(10ms);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  fix.store.Do(
+    [](StoreStandin& aStore) { aStore.SetFault(StoreFault::kSilent); });
+  hostd.Signal(SIGHUP);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fix.Post("/a/x") == 200);
+    std::this_thread::sleep_for(100ms);
+  }
+  CHECK(fix.Ready() == 200);
+}
