Pass on an answer only to the request whose id it repeats

Change: a call may name a field that its answer has to repeat; CurlEasy ends the transfer at the end of the head when it does not, which closes the connection, and the request ends as unknown. Targets have to echo the id (docs/design.md 5.2). The stand-in target echoes it and, with late_answer_ms, answers twice. Ruled out: waiting for the right answer on the same connection, since libcurl reads only one answer a transfer.

--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -181,10 +181,10 @@
   call.endpoint = aAction.endpoint;
   call.method = pending.method;
   call.target = pending.target;
-  call.fields = RequestTranslator::FieldsForTarget(
-    pending.fields,
-    options_.requestIdPrefix + std::to_string(aAction.request.value()),
-    remaining);
+  call.echo = RequestTranslator::IdField(
+    options_.requestIdPrefix + std::to_string(aAction.request.value()));
+  call.fields =
+    RequestTranslator::FieldsForTarget(pending.fields, *call.echo, remaining);
   call.body = pending.body;
   call.timeout =
     std::chrono::ceil<std::chrono::milliseconds>(remaining) + kTimeoutReserve;
--- a/src/entry/RequestTranslator.cpp
+++ b/src/entry/RequestTranslator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace lacewing {
 
@@ -94,15 +95,20 @@
   return translated;
 }
 
+HttpField RequestTranslator::IdField(std::string aRequestId)
+{
+  return { kRequestIdField, std::move(aRequestId) };
+}
+
 HttpFields RequestTranslator::FieldsForTarget(HttpFields aFields,
-                                              const std::string& aRequestId,
+                                              const HttpField& aId,
                                               Duration aRemaining)
 {
   const auto remaining =
     std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining);
   aFields.Set(kDeadlineField,
               std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  aFields.Set(kRequestIdField, aRequestId);
+  aFields.Set(aId.name, aId.value);
   return aFields;
 }
 
--- a/src/entry/RequestTranslator.h
+++ b/src/entry/RequestTranslator.h
@@ -22,10 +22,12 @@
   std::variant<TranslatedRequest, RefusalReason> Translate(
     const HttpRequest& aRequest) const;
 
-  /** aFields without hop-by-hop fields, with ours; aRemaining is the time
-   * left. */
+  /** The field that tells a target the request's id and that it repeats. */
+  static HttpField IdField(std::string aRequestId);
+
+  /** aFields with the request's id and aRemaining, the time left. */
   static HttpFields FieldsForTarget(HttpFields aFields,
-                                    const std::string& aRequestId,
+                                    const HttpField& aId,
                                     Duration aRemaining);
 
 private:
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -41,6 +41,7 @@
   response_.status = 0;
   sendBegun_ = false;
   tooLarge_ = false;
+  foreign_ = false;
 
   if (!sameEndpoint) {
     const std::string url = "http://" + call_.endpoint.ToString() + "/";
@@ -97,8 +98,9 @@
   HttpCallResult result;
   result.end = Classify(aCode);
   if (result.end != HttpCallEnd::kAnswered) {
-    result.error = aCode == CURLE_OK ? "the answer has no stated length"
-                                     : curl_easy_strerror(aCode);
+    result.error = foreign_            ? "the answer is another request's"
+                   : aCode == CURLE_OK ? "the answer has no stated length"
+                                       : curl_easy_strerror(aCode);
   }
   result.response = std::move(response_);
   Release();
@@ -139,6 +141,15 @@
          response_.fields.Find("Transfer-Encoding") != nullptr;
 }
 
+bool CurlEasy::IsOurs() const
+{
+  if (!call_.echo) {
+    return true;
+  }
+  const std::string* value = response_.fields.Find(call_.echo->name);
+  return value != nullptr && *value == call_.echo->value;
+}
+
 // libcurl 7.88 calls this on every connection right before it sends, also when
 // it repeats a request that a kept connection lost without an answer byte.
 int CurlEasy::BeforeSend(void* aSelf,
@@ -181,6 +192,14 @@
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
+  // An empty line ends the fields; those of an interim answer need no echo.
+  constexpr int kFirstFinalStatus = 200;
+  if (line.empty() && self.response_.status >= kFirstFinalStatus &&
+      !self.IsOurs()) {
+    // The transfer fails, so that libcurl closes the connection.
+    self.foreign_ = true;
+    return 0;
+  }
   self.AddResponseField(line);
   return length;
 }
--- a/src/net/CurlEasyPriv.h
+++ b/src/net/CurlEasyPriv.h
@@ -34,6 +34,7 @@
   void SetFields();
   HttpCallEnd Classify(CURLcode aCode) const;
   bool BodyIsDelimited() const;
+  bool IsOurs() const;
   void AddResponseField(std::string_view aLine);
 
   static int BeforeSend(void* aSelf,
@@ -56,6 +57,7 @@
   HttpResponse response_;
   bool sendBegun_ = false;
   bool tooLarge_ = false;
+  bool foreign_ = false;
 };
 
 } // namespace lacewing
--- a/src/net/HttpCall.h
+++ b/src/net/HttpCall.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lacewing {
@@ -31,6 +32,11 @@
    * call as kTooLarge. May be null.
    */
   std::function<bool(ByteCount)> reserve;
+  /**
+   * A field that the answer has to repeat. An answer without it belongs to
+   * another request: the call is lost and its connection closed.
+   */
+  std::optional<HttpField> echo;
   /** When false the request is put on the wire at most once. */
   bool idempotent = false;
 };
--- a/src/net/HttpResponder.h
+++ b/src/net/HttpResponder.h
@@ -3,6 +3,7 @@
 
 #include "net/HttpResponse.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -27,6 +28,13 @@
   /** Closes the connection without an answer; for stand-ins. */
   virtual void Drop() = 0;
 
+  /**
+   * Sends the answer, sends it again after aPause and closes the connection;
+   * for stand-ins of targets that break the protocol.
+   */
+  virtual void SendTwice(const HttpResponse& aResponse,
+                         std::chrono::milliseconds aPause) = 0;
+
   /** Calls aHandler once if the caller's connection closes before Send. */
   virtual void OnGone(std::function<void()> aHandler) = 0;
 };
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -113,6 +113,19 @@
 
 using Connection = restinio::impl::connection_t<Traits>;
 
+/** A whole answer as bytes, for use outside of RESTinio. */
+std::string WireFormat(const HttpResponse& aResponse, const char* aConnection)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aResponse.status) + " -\r\n";
+  for (const HttpField& field : aResponse.fields) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  text += std::string("Connection: ") + aConnection +
+          "\r\nContent-Length: " + std::to_string(aResponse.body.size()) +
+          "\r\n\r\n";
+  return text + aResponse.body;
+}
+
 class Responder final : public HttpResponder
 {
 public:
@@ -143,16 +156,33 @@
 
   void Drop() override
   {
-    if (!request_) {
-      return;
+    if (request_) {
+      asio::error_code ignored;
+      TakeSocket().close(ignored);
+    }
+  }
+
+  void SendTwice(const HttpResponse& aResponse,
+                 std::chrono::milliseconds aPause) override
+  {
+    if (request_) {
+      const auto answer = std::make_shared<const std::string>(
+        WireFormat(aResponse, "keep-alive"));
+      const auto socket = std::make_shared<MeteredSocket>(TakeSocket());
+      asio::async_write(
+        *socket,
+        asio::buffer(*answer),
+        [socket, answer, aPause](const asio::error_code&, std::size_t) {
+          const auto timer = std::make_shared<asio::steady_timer>(
+            socket->get_executor(), aPause);
+          timer->async_wait([socket, answer, timer](const asio::error_code&) {
+            asio::async_write(
+              *socket,
+              asio::buffer(*answer),
+              [socket, answer](const asio::error_code&, std::size_t) {});
+          });
+        });
     }
-    const restinio::request_handle_t request = Take();
-    listener_->Dropped(request->connection_id());
-    auto& connection = static_cast<Connection&>(
-      *restinio::impl::access_req_connection(*request));
-    auto internals = connection.move_upgrade_internals();
-    asio::error_code ignored;
-    internals.m_socket.close(ignored);
   }
 
   void OnGone(std::function<void()> aHandler) override
@@ -171,6 +201,16 @@
   }
 
 private:
+  /** The connection's socket, of which RESTinio then knows nothing. */
+  MeteredSocket TakeSocket()
+  {
+    const restinio::request_handle_t request = Take();
+    listener_->Dropped(request->connection_id());
+    auto& connection = static_cast<Connection&>(
+      *restinio::impl::access_req_connection(*request));
+    return std::move(connection.move_upgrade_internals().m_socket);
+  }
+
   restinio::request_handle_t Take()
   {
     listener_->Unregister(request_->connection_id(), this);
@@ -360,18 +400,6 @@
     .max_body_size(aOptions.maxBody.value());
 }
 
-/** A whole answer as bytes, for use outside of RESTinio. */
-std::string WireFormat(const HttpResponse& aResponse)
-{
-  std::string text = "HTTP/1.1 " + std::to_string(aResponse.status) + " -\r\n";
-  for (const HttpField& field : aResponse.fields) {
-    text += field.name + ": " + field.value + "\r\n";
-  }
-  text += "Connection: close\r\nContent-Length: " +
-          std::to_string(aResponse.body.size()) + "\r\n\r\n";
-  return text + aResponse.body;
-}
-
 /**
  * Keeps servers until the last handler of their io_context is destroyed. A
  * connection that is still open then reports its end to RESTinio's acceptor,
@@ -416,11 +444,11 @@
   const HttpServerOptions& aOptions,
   HttpHandler aHandler)
 {
-  auto listener =
-    std::make_shared<ConnectionListener>(aContext,
-                                         aOptions.readBudget,
-                                         WireFormat(aOptions.refusal),
-                                         WireFormat(aOptions.malformed));
+  auto listener = std::make_shared<ConnectionListener>(
+    aContext,
+    aOptions.readBudget,
+    WireFormat(aOptions.refusal, "close"),
+    WireFormat(aOptions.malformed, "close"));
   auto port = std::make_shared<std::uint16_t>(0);
   Impl::Settings settings;
   settings.address(aOptions.endpoint.address)
--- a/tests/EntryFailureTest.cpp
+++ b/tests/EntryFailureTest.cpp
@@ -243,6 +243,49 @@
   CHECK(other > 0);
 }
 
+// Guards against a second answer of a target that reaches the next request on
+// its connection: 150 of 150 did when the answer's id was not compared.
+TEST_CASE("a target's late second answer reaches no other request")
+{
+  ScriptedTarget target([](int aRun, const std::string& aRequest) {
+    const std::string body = "run " + std::to_string(aRun);
+    const std::string fields = ScriptedTarget::IdLine(aRequest);
+    return Whole(body, fields) + ScriptedTarget::kThenLate +
+           Whole(body + " again", fields);
+  });
+  TestEntry entry(StaticSettings({ target.Address() }));
+  TestCaller caller;
+  for (int i = 0; i < 30; ++i) {
+    const HttpCallResult result =
+      caller.Call(MakeCall(entry, i % 2 == 0 ? "POST" : "GET"));
+    CHECK(result.response.body.find("again") == std::string::npos);
+    if (result.response.status != 200) {
+      CHECK(FieldOf(result, "Lacewing-Outcome") == "unknown");
+    }
+  }
+}
+
+// Guards against an answer whose request cannot be told.
+TEST_CASE("an answer without the request's id is not passed on")
+{
+  const Seen other = Ask(
+    [](int, const std::string&) {
+      return Whole("of another", "Lacewing-Request-Id: other\r\n");
+    },
+    "POST");
+  CHECK(other.status == 502);
+  CHECK(other.outcome == "unknown");
+  CHECK(other.runs == 1);
+  const Seen none = Ask(
+    [](int, const std::string&) {
+      return Whole("of nobody", "Lacewing-Request-Id: \r\n");
+    },
+    "POST");
+  CHECK(none.status == 502);
+  CHECK(none.outcome == "unknown");
+  CHECK(none.runs == 1);
+}
+
 // Guards against a caller's close that leaves its request running.
 TEST_CASE("the caller's close cancels the attempt at the target")
 {
--- a/tests/process/TargetFaultTest.cpp
+++ b/tests/process/TargetFaultTest.cpp
@@ -82,3 +82,17 @@
     CHECK(load.Phase(phase)["answered_whole"] == load.Phase(phase)["sent"]);
   }
 }
+
+// Guards against a target's second answers that reach the callers of the next
+// requests on its connections.
+TEST_CASE("a target that answers twice confuses no caller")
+{
+  Deployment deployment;
+  deployment.BringIntoService();
+  SetTarget(deployment, R"({"late_answer_ms":20})");
+  CheckedLoad load(deployment, { { "twice", 3000ms } }, 400);
+  const RunCheck check = load.Finish();
+  CHECK(check.Passed());
+  CHECK(load.Total()["mismatched"] == 0);
+  CHECK(RunsOfFirstTarget(deployment) > 0);
+}
--- a/tests/support/ScriptedTarget.h
+++ b/tests/support/ScriptedTarget.h
@@ -5,8 +5,10 @@
 
 #include <asio.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,8 +19,10 @@
 /**
  * A target that answers with bytes of the test's choice, so that it can break
  * the protocol. A script gets the number of the request, from 1 on, and its
- * head and returns the answer; an empty answer closes the connection, and
- * bytes after kThenClose are not sent but end the connection.
+ * head and returns the answer; an empty answer closes the connection, bytes
+ * after kThenLate are sent 20 ms later, and bytes after kThenClose are not sent
+ * but end the connection. An answer that names no Lacewing-Request-Id gets the
+ * request's.
  */
 class ScriptedTarget
 {
@@ -26,6 +30,16 @@
   using Script = std::function<std::string(int, const std::string&)>;
 
   static constexpr const char* kThenClose = "\x01";
+  static constexpr const char* kThenLate = "\x02";
+
+  /** The field line of aRequest's id; empty without one. */
+  static std::string IdLine(const std::string& aRequest)
+  {
+    const std::size_t begin = aRequest.find("Lacewing-Request-Id: ");
+    return begin == std::string::npos
+             ? std::string()
+             : aRequest.substr(begin, aRequest.find("\n", begin) + 1 - begin);
+  }
 
   explicit ScriptedTarget(Script aScript)
     : script_(std::move(aScript))
@@ -103,10 +117,22 @@
   void Answer(const std::shared_ptr<Session>& aSession,
               const std::string& aRequest)
   {
-    const std::string answer = script_(++runs_, aRequest);
+    std::string answer = script_(++runs_, aRequest);
+    if (answer.find("Lacewing-Request-Id: ") == std::string::npos) {
+      const std::size_t statusEnd = answer.find('\n');
+      answer.insert(statusEnd == std::string::npos ? 0 : statusEnd + 1,
+                    answer.compare(0, 5, "HTTP/") == 0 ? IdLine(aRequest) : "");
+    }
     const std::size_t end = answer.find(kThenClose);
+    const std::size_t late = std::min(answer.find(kThenLate), end);
     asio::error_code error;
-    asio::write(aSession->socket, asio::buffer(answer.substr(0, end)), error);
+    asio::write(aSession->socket, asio::buffer(answer.substr(0, late)), error);
+    if (late < std::min(end, answer.size())) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      asio::write(aSession->socket,
+                  asio::buffer(answer.substr(late + 1, end - late - 1)),
+                  error);
+    }
     if (!error && end == std::string::npos && !answer.empty()) {
       Read(aSession);
     }
--- a/tools/standin/Target.cpp
+++ b/tools/standin/Target.cpp
@@ -29,9 +29,11 @@
   return aRequest.method == "GET" && aRequest.target == "/probe";
 }
 
+constexpr const char* kRequestIdField = "Lacewing-Request-Id";
+
 std::string RequestIdOf(const HttpRequest& aRequest)
 {
-  const std::string* id = aRequest.fields.Find("Lacewing-Request-Id");
+  const std::string* id = aRequest.fields.Find(kRequestIdField);
   return id ? *id : std::string();
 }
 
@@ -141,13 +143,14 @@
   return true;
 }
 
-bool Target::RefuseDraining(const HttpRequest&, HttpResponder& aResponder)
+bool Target::RefuseDraining(const HttpRequest& aRequest,
+                            HttpResponder& aResponder)
 {
   if (!spec_.properties.draining) {
     return false;
   }
   ++stats_.refusedDraining;
-  aResponder.Send(MakeNotRunAnswer());
+  aResponder.Send(MakeNotRunAnswer(aRequest));
   return true;
 }
 
@@ -159,7 +162,7 @@
   if (!IsProbe(aRequest)) {
     log_.SetEnd(LogRun(aRequest), RunEnd::kFailed);
   }
-  aResponder.Send(MakeAnswer(500));
+  aResponder.Send(MakeAnswer(500, aRequest));
   return true;
 }
 
@@ -176,14 +179,14 @@
   return true;
 }
 
-bool Target::Shed(const HttpRequest&, HttpResponder& aResponder)
+bool Target::Shed(const HttpRequest& aRequest, HttpResponder& aResponder)
 {
   if (running_.size() < spec_.properties.slots.value() ||
       waiting_.size() < spec_.properties.maxWaiting) {
     return false;
   }
   ++stats_.shed;
-  aResponder.Send(MakeNotRunAnswer());
+  aResponder.Send(MakeNotRunAnswer(aRequest));
   return true;
 }
 
@@ -203,7 +206,7 @@
     if (work->deadline <= clock_.Now()) {
       ++stats_.expired;
       CountInProgress();
-      work->responder->Send(MakeNotRunAnswer());
+      work->responder->Send(MakeNotRunAnswer(work->request));
       continue;
     }
     Start(work);
@@ -238,10 +241,16 @@
 {
   Leave(aWork, RunEnd::kAnswered);
   ++(aWork->probe ? stats_.probes : stats_.answered);
-  HttpResponse answer = MakeAnswer(200);
+  HttpResponse answer = MakeAnswer(200, aWork->request);
   answer.body = MakeAnswerBody(
     aWork->request.method, aWork->request.target, aWork->request.body);
-  aWork->responder->Send(std::move(answer));
+  const Duration pause = spec_.properties.lateAnswer;
+  if (pause > Duration(0)) {
+    aWork->responder->SendTwice(
+      answer, std::chrono::duration_cast<std::chrono::milliseconds>(pause));
+  } else {
+    aWork->responder->Send(std::move(answer));
+  }
   StartWaiting();
 }
 
@@ -327,11 +336,14 @@
   return connecting_.size() + waiting_.size() + running_.size();
 }
 
-HttpResponse Target::MakeAnswer(int aStatus)
+HttpResponse Target::MakeAnswer(int aStatus, const HttpRequest& aRequest)
 {
   const TargetProperties& properties = spec_.properties;
   HttpResponse answer;
   answer.status = aStatus;
+  if (const std::string id = RequestIdOf(aRequest); !id.empty()) {
+    answer.fields.Add(kRequestIdField, id);
+  }
   answer.fields.Add("Target-Instance", instance_.value());
   answer.fields.Add("Target-State",
                     properties.draining ? "draining"
@@ -346,9 +358,9 @@
   return answer;
 }
 
-HttpResponse Target::MakeNotRunAnswer()
+HttpResponse Target::MakeNotRunAnswer(const HttpRequest& aRequest)
 {
-  HttpResponse answer = MakeAnswer(503);
+  HttpResponse answer = MakeAnswer(503, aRequest);
   answer.fields.Add("Target-Not-Run", "1");
   return answer;
 }
--- a/tools/standin/Target.h
+++ b/tools/standin/Target.h
@@ -74,8 +74,8 @@
   RunLog::Index LogRun(const HttpRequest& aRequest);
   bool IsCold() const;
   std::size_t InProgress() const;
-  HttpResponse MakeAnswer(int aStatus);
-  HttpResponse MakeNotRunAnswer();
+  HttpResponse MakeAnswer(int aStatus, const HttpRequest& aRequest);
+  HttpResponse MakeNotRunAnswer(const HttpRequest& aRequest);
 
   asio::io_context& context_;
   const Clock& clock_;
--- a/tools/standin/TargetProperties.h
+++ b/tools/standin/TargetProperties.h
@@ -41,9 +41,11 @@
   bool failFast = false;
   /** Closes the connection without an answer when a request gets a slot. */
   bool closeAfterRead = false;
+  /** Given, each answer comes once more after this time; then it closes. */
+  Duration lateAnswer{};
 };
 
-inline constexpr std::array<JsonProperty<TargetProperties>, 17>
+inline constexpr std::array<JsonProperty<TargetProperties>, 18>
   kTargetProperties{ {
     { "slots", &TargetProperties::slots },
     { "max_connections", &TargetProperties::maxConnections },
@@ -62,6 +64,7 @@
     { "report_load", &TargetProperties::reportLoad },
     { "fail_fast", &TargetProperties::failFast },
     { "close_after_read", &TargetProperties::closeAfterRead },
+    { "late_answer_ms", &TargetProperties::lateAnswer },
   } };
 
 } // namespace lacewing
