Add a fault soak of hostd processes with stand-ins of servers and store

Change: lacewing-soak starts lacewing-hostd processes on addresses of their own, with stand-ins of the platform's store and servers, callers on kept connections, and links through the loopback proxy. A seed decides 23 kinds of faults, which overlap: signals, restarts, pauses, cut, silenced and delayed links, store outages and forgotten history, crashed, spoilt and replaced servers, planned work. Clocks are not disturbed: hostd decides on monotonic time alone. Test processes no longer inherit the test's sockets, which kept cut links open.

--- /dev/null
+++ b/tests/soak/FaultDriver.cpp
@@ -0,0 +1,335 @@
+#include "soak/FaultDriver.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+// Between two strikes; faults last longer, so that they overlap.
+constexpr int kLeastPauseMs = 100;
+constexpr int kMostPauseMs = 700;
+constexpr Duration kLinkDelay = std::chrono::milliseconds(120);
+// A server serves on after its leaving is known, beyond the bound for that.
+constexpr Duration kServesOn = std::chrono::milliseconds(3500);
+
+using Spoil = void (*)(ServerFaults&);
+
+constexpr std::array<Spoil, 7> kSpoils{ {
+  [](ServerFaults& aFaults) { aFaults.slowFactor = 8; },
+  [](ServerFaults& aFaults) { aFaults.shed = true; },
+  [](ServerFaults& aFaults) { aFaults.fail = true; },
+  [](ServerFaults& aFaults) { aFaults.mute = true; },
+  [](ServerFaults& aFaults) { aFaults.loseAnswers = true; },
+  [](ServerFaults& aFaults) { aFaults.truncate = true; },
+  [](ServerFaults& aFaults) { aFaults.repeat = true; },
+} };
+
+} // namespace
+
+const std::vector<SoakFault> FaultDriver::kFaults = {
+  { "roll-host", true, &FaultDriver::RollHost, 4000, 4000 },
+  { "reload", true, &FaultDriver::ReloadHosts, 1, 1 },
+  { "move-route", true, &FaultDriver::MoveRoute, 1, 1 },
+  { "drain-server", true, &FaultDriver::DrainServer, 4000, 4000 },
+  { "join-server", true, &FaultDriver::JoinServer, 1, 1 },
+  { "zone-out", true, &FaultDriver::TakeZoneOut, 3000, 8000 },
+  { "kill-host", false, &FaultDriver::KillHost, 50, 2000 },
+  { "kill-all-hosts", false, &FaultDriver::KillAllHosts, 50, 1000 },
+  { "pause-host", false, &FaultDriver::PauseHost, 200, 4000 },
+  { "pause-half", false, &FaultDriver::PauseHalf, 200, 3000 },
+  { "store-busy", false, &FaultDriver::StoreBusy, 500, 5000 },
+  { "store-silent", false, &FaultDriver::StoreSilent, 500, 5000 },
+  { "store-forgets", false, &FaultDriver::ForgetHistory, 1, 1 },
+  { "silence-store-link", false, &FaultDriver::SilenceStoreLink, 500, 5000 },
+  { "cut-store-link", false, &FaultDriver::CutStoreLink, 500, 4000 },
+  { "cut-front-link", false, &FaultDriver::CutFrontLink, 1, 1 },
+  { "delay-front-link", false, &FaultDriver::DelayFrontLink, 500, 3000 },
+  { "crash-server", false, &FaultDriver::CrashServer, 300, 3000 },
+  { "reuse-address", false, &FaultDriver::ReuseAddress, 500, 2000 },
+  { "cut-server-link", false, &FaultDriver::CutServerLink, 300, 3000 },
+  { "silence-answers", false, &FaultDriver::SilenceAnswers, 500, 3000 },
+  { "delay-server-link", false, &FaultDriver::DelayServerLink, 500, 3000 },
+  { "spoil-server", false, &FaultDriver::SpoilServer, 500, 4000 },
+};
+
+FaultDriver::FaultDriver(SoakWorld& aWorld, const SoakOptions& aOptions)
+  : world_(aWorld)
+  , random_(aOptions.seed)
+{
+  std::copy_if(kFaults.begin(),
+               kFaults.end(),
+               std::back_inserter(faults_),
+               [&aOptions](const SoakFault& aFault) {
+                 return aFault.planned || !aOptions.plannedOnly;
+               });
+}
+
+void FaultDriver::Start(TimePoint aEnd)
+{
+  end_ = aEnd;
+  lastEnd_ = world_.Time().Now();
+  Strike();
+}
+
+void FaultDriver::Strike()
+{
+  const TimePoint now = world_.Time().Now();
+  if (now >= end_) {
+    return;
+  }
+  const SoakFault& fault = faults_[random_() % faults_.size()];
+  std::uniform_int_distribution<int> length(fault.leastMs, fault.mostMs);
+  const Duration lasts = std::chrono::milliseconds(length(random_));
+  std::cout
+    << "event=fault kind=" << fault.name << " for_ms="
+    << std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count()
+    << '\n';
+  (this->*fault.strike)(lasts);
+  lastEnd_ = std::max(lastEnd_, now + lasts);
+  std::uniform_int_distribution<int> pause(kLeastPauseMs, kMostPauseMs);
+  world_.After(std::chrono::milliseconds(pause(random_)), [this] { Strike(); });
+}
+
+SoakHost& FaultDriver::PickHost()
+{
+  auto& hosts = world_.Hosts();
+  return *hosts[random_() % hosts.size()];
+}
+
+void FaultDriver::RollHost(Duration)
+{
+  const auto& hosts = world_.Hosts();
+  const auto running =
+    std::count_if(hosts.begin(), hosts.end(), [](const auto& aHost) {
+      return aHost->Running() && aHost->InRotation();
+    });
+  // Planned work leaves more than half of the hosts in service.
+  if (static_cast<std::size_t>(running) > hosts.size() / 2 + 1) {
+    PickHost().Terminate();
+  }
+}
+
+void FaultDriver::ReloadHosts(Duration)
+{
+  for (const auto& host : world_.Hosts()) {
+    host->Reload();
+  }
+}
+
+void FaultDriver::MoveRoute(Duration)
+{
+  world_.MoveRoute();
+}
+
+void FaultDriver::DrainServer(Duration)
+{
+  SoakServer* server = world_.PickServer(random_);
+  if (server == nullptr) {
+    return;
+  }
+  server->draining = true;
+  world_.WriteServer(*server);
+  world_.Ledger().OnServerLeaving(server->spec.id);
+  const ServerSpec spec = server->spec;
+  world_.AddServer(spec.service, spec.zone, true);
+  world_.After(kServesOn, [this, spec] { world_.RemoveServer(spec.id); });
+}
+
+void FaultDriver::JoinServer(Duration)
+{
+  if (const SoakServer* server = world_.PickServer(random_)) {
+    const ServerSpec spec = server->spec;
+    world_.AddServer(spec.service, spec.zone, true);
+  }
+}
+
+void FaultDriver::TakeZoneOut(Duration aLength)
+{
+  const ZoneId zone = world_.ZoneAt(0);
+  if (world_.Store().Has("evacuations", zone.value())) {
+    return;
+  }
+  world_.Store().Put("evacuations", zone.value(), nlohmann::json::object());
+  world_.Ledger().OnZoneOut(zone);
+  world_.After(aLength, [this, zone] {
+    world_.Ledger().OnZoneBack(zone);
+    world_.Store().Remove("evacuations", zone.value());
+  });
+}
+
+void FaultDriver::KillHost(Duration aLength)
+{
+  PickHost().Kill(aLength);
+}
+
+void FaultDriver::KillAllHosts(Duration aLength)
+{
+  for (const auto& host : world_.Hosts()) {
+    host->Kill(aLength);
+  }
+}
+
+void FaultDriver::PauseHost(Duration aLength)
+{
+  SoakHost& host = PickHost();
+  host.Pause();
+  world_.After(aLength, [&host] { host.Resume(); });
+}
+
+void FaultDriver::PauseHalf(Duration aLength)
+{
+  for (const auto& host : world_.Hosts()) {
+    if (random_() % 2 == 0) {
+      host->Pause();
+      world_.After(aLength, [&host = *host] { host.Resume(); });
+    }
+  }
+}
+
+void FaultDriver::SetStoreFault(StoreFault aFault, Duration aLength)
+{
+  world_.Store().SetFault(aFault);
+  world_.After(aLength, [this] { world_.Store().SetFault(StoreFault::kNone); });
+}
+
+void FaultDriver::StoreBusy(Duration aLength)
+{
+  SetStoreFault(StoreFault::kBusy, aLength);
+}
+
+void FaultDriver::StoreSilent(Duration aLength)
+{
+  SetStoreFault(StoreFault::kSilent, aLength);
+}
+
+void FaultDriver::ForgetHistory(Duration)
+{
+  world_.Store().ForgetHistory();
+}
+
+void FaultDriver::SetLink(ProxyPair& aLink,
+                          LinkState ProxyPair::*aDirection,
+                          const LinkFaults& aFaults,
+                          Duration aLength)
+{
+  aLink.SetFaults(aDirection, aFaults);
+  // The link's host or server may be gone by then.
+  const Endpoint listen = aLink.ListenEndpoint();
+  world_.After(aLength, [this, listen, aDirection] {
+    if (ProxyPair* link = world_.FindLink(listen)) {
+      link->SetFaults(aDirection, LinkFaults());
+    }
+  });
+}
+
+void FaultDriver::SilenceStoreLink(Duration aLength)
+{
+  LinkFaults silent;
+  silent.stall = true;
+  SetLink(PickHost().StoreLink(),
+          random_() % 2 == 0 ? &ProxyPair::up : &ProxyPair::down,
+          silent,
+          aLength);
+}
+
+void FaultDriver::CutStoreLink(Duration aLength)
+{
+  SoakHost& host = PickHost();
+  host.StoreLink().Cut();
+  if (host.StoreLink().SetRefusing(true)) {
+    world_.After(aLength, [this, &host] {
+      if (!host.StoreLink().SetRefusing(false)) {
+        world_.Ledger().AddViolation("soak", "a link cannot listen again");
+      }
+    });
+  }
+}
+
+void FaultDriver::CutFrontLink(Duration)
+{
+  PickHost().FrontLink().Cut();
+}
+
+void FaultDriver::DelayFrontLink(Duration aLength)
+{
+  LinkFaults slow;
+  slow.latency = kLinkDelay;
+  SetLink(PickHost().FrontLink(), &ProxyPair::up, slow, aLength);
+}
+
+void FaultDriver::CrashServer(Duration aLength)
+{
+  if (SoakServer* server = world_.PickServer(random_)) {
+    server->process.reset();
+    world_.After(aLength, [this, id = server->spec.id] {
+      if (SoakServer* down = world_.FindServer(id)) {
+        world_.ReviveServer(*down, down->spec.service);
+      }
+    });
+  }
+}
+
+void FaultDriver::ReuseAddress(Duration aLength)
+{
+  SoakServer* server = world_.PickServer(random_);
+  if (server == nullptr) {
+    return;
+  }
+  server->process.reset();
+  world_.After(aLength, [this, id = server->spec.id] {
+    SoakServer* down = world_.FindServer(id);
+    SoakServer* other = world_.PickServer(random_);
+    if (down != nullptr) {
+      world_.ReviveServer(
+        *down, other == nullptr ? down->spec.service : other->spec.service);
+    }
+  });
+}
+
+void FaultDriver::CutServerLink(Duration)
+{
+  if (SoakServer* server = world_.PickServer(random_)) {
+    server->link->Cut();
+  }
+}
+
+void FaultDriver::SilenceAnswers(Duration aLength)
+{
+  if (SoakServer* server = world_.PickServer(random_)) {
+    LinkFaults silent;
+    silent.stall = true;
+    SetLink(*server->link, &ProxyPair::down, silent, aLength);
+  }
+}
+
+void FaultDriver::DelayServerLink(Duration aLength)
+{
+  if (SoakServer* server = world_.PickServer(random_)) {
+    LinkFaults slow;
+    slow.latency = kLinkDelay;
+    SetLink(*server->link, &ProxyPair::up, slow, aLength);
+  }
+}
+
+void FaultDriver::SpoilServer(Duration aLength)
+{
+  SoakServer* server = world_.PickServer(random_);
+  if (server == nullptr) {
+    return;
+  }
+  ServerFaults faults;
+  kSpoils[random_() % kSpoils.size()](faults);
+  server->process->SetFaults(faults);
+  world_.After(aLength, [this, id = server->spec.id] {
+    SoakServer* spoiled = world_.FindServer(id);
+    if (spoiled != nullptr && spoiled->process) {
+      spoiled->process->SetFaults(ServerFaults());
+    }
+  });
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/tests/soak/FaultDriver.h
@@ -0,0 +1,70 @@
+#ifndef TESTS_SOAK_FAULTDRIVER_H
+#define TESTS_SOAK_FAULTDRIVER_H
+
+#include "soak/SoakFault.h"
+#include "soak/SoakWorld.h"
+
+#include <vector>
+
+namespace lacewing {
+
+/** Strikes with faults that the seed picks, one over the other. */
+class FaultDriver
+{
+public:
+  FaultDriver(SoakWorld& aWorld, const SoakOptions& aOptions);
+
+  /** Strikes again and again until aEnd. */
+  void Start(TimePoint aEnd);
+
+  /** When the last fault so far has ended. */
+  TimePoint LastEnd() const { return lastEnd_; }
+
+private:
+  void Strike();
+
+  void RollHost(Duration aLength);
+  void ReloadHosts(Duration aLength);
+  void MoveRoute(Duration aLength);
+  void DrainServer(Duration aLength);
+  void JoinServer(Duration aLength);
+  void TakeZoneOut(Duration aLength);
+
+  void KillHost(Duration aLength);
+  void KillAllHosts(Duration aLength);
+  void PauseHost(Duration aLength);
+  void PauseHalf(Duration aLength);
+  void StoreBusy(Duration aLength);
+  void StoreSilent(Duration aLength);
+  void ForgetHistory(Duration aLength);
+  void SilenceStoreLink(Duration aLength);
+  void CutStoreLink(Duration aLength);
+  void CutFrontLink(Duration aLength);
+  void DelayFrontLink(Duration aLength);
+  void CrashServer(Duration aLength);
+  void ReuseAddress(Duration aLength);
+  void CutServerLink(Duration aLength);
+  void SilenceAnswers(Duration aLength);
+  void DelayServerLink(Duration aLength);
+  void SpoilServer(Duration aLength);
+
+  void SetStoreFault(StoreFault aFault, Duration aLength);
+  void SetLink(ProxyPair& aLink,
+               LinkState ProxyPair::*aDirection,
+               const LinkFaults& aFaults,
+               Duration aLength);
+  SoakHost& PickHost();
+
+  static const std::vector<SoakFault> kFaults;
+
+  SoakWorld& world_;
+  /** Its own, so that a seed gives the same faults whatever callers do. */
+  std::mt19937_64 random_;
+  std::vector<SoakFault> faults_;
+  TimePoint end_;
+  TimePoint lastEnd_;
+};
+
+} // namespace lacewing
+
+#endif // TESTS_SOAK_FAULTDRIVER_H
--- /dev/null
+++ b/tests/soak/SoakHost.cpp
@@ -0,0 +1,168 @@
+#include "soak/SoakHost.h"
+
+#include <csignal>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration kReadyTimeout = std::chrono::milliseconds(200);
+// Added to the grace time for the polls that see the end.
+constexpr Duration kExitMargin = std::chrono::milliseconds(500);
+
+ConnectionOptions OptionsFor(const std::string& aEndpoint)
+{
+  ConnectionOptions options;
+  options.endpoint = Endpoint::Parse(aEndpoint).value();
+  return options;
+}
+
+nlohmann::json WithStore(nlohmann::json aSettings, const Endpoint& aStore)
+{
+  aSettings["platform"] = { { "address", aStore.ToString() } };
+  return aSettings;
+}
+
+std::unique_ptr<ProxyPair> MakeLink(asio::io_context& aContext,
+                                    const Clock& aClock,
+                                    const Endpoint& aListen,
+                                    const Endpoint& aTo)
+{
+  return std::move(ProxyPair::Make(aContext, aClock, aListen, aTo).value());
+}
+
+} // namespace
+
+SoakHost::SoakHost(asio::io_context& aContext,
+                   const Clock& aClock,
+                   SoakLedger& aLedger,
+                   nlohmann::json aSettings,
+                   const Endpoint& aStore,
+                   const Endpoint& aStoreLink,
+                   const Endpoint& aFrontLink)
+  : clock_(aClock)
+  , ledger_(aLedger)
+  , name_(aSettings.at("node").get<std::string>())
+  , zone_(aSettings.at("zone").get<std::string>())
+  , storeLink_(MakeLink(aContext, aClock, aStoreLink, aStore))
+  , frontLink_(MakeLink(
+      aContext,
+      aClock,
+      aFrontLink,
+      Endpoint::Parse(aSettings.at("listen").at("front").get<std::string>())
+        .value()))
+  , settings_(WithStore(aSettings, aStoreLink).dump())
+  , readiness_(
+      aContext,
+      OptionsFor(aSettings.at("listen").at("ready").get<std::string>()),
+      aClock)
+{
+}
+
+void SoakHost::Start()
+{
+  startAt_.reset();
+  terminatedAt_.reset();
+  paused_ = false;
+  process_ = std::make_unique<Process>(
+    "lacewing-hostd",
+    std::vector<std::string>{ "--settings=" + settings_.Path() });
+}
+
+void SoakHost::Kill(Duration aDown)
+{
+  if (process_) {
+    logs_ += process_->Output();
+    process_.reset();
+  }
+  terminatedAt_.reset();
+  startAt_ = clock_.Now() + aDown;
+}
+
+void SoakHost::Terminate()
+{
+  if (Running()) {
+    terminatedAt_ = clock_.Now();
+    process_->Signal(SIGTERM);
+  }
+}
+
+void SoakHost::Pause()
+{
+  if (process_) {
+    paused_ = true;
+    process_->Signal(SIGSTOP);
+  }
+}
+
+void SoakHost::Resume()
+{
+  if (process_ && std::exchange(paused_, false)) {
+    process_->Signal(SIGCONT);
+    // It learns only now that it has to stop.
+    if (terminatedAt_) {
+      terminatedAt_ = clock_.Now();
+    }
+  }
+}
+
+void SoakHost::Reload()
+{
+  if (Running()) {
+    process_->Signal(SIGHUP);
+  }
+}
+
+void SoakHost::OnExit(int aCode)
+{
+  if (!terminatedAt_ || aCode != 0) {
+    ledger_.AddViolation(
+      "exit", name_ + " ended by itself with " + std::to_string(aCode));
+  }
+  logs_ += process_->Output();
+  process_.reset();
+  Start();
+}
+
+void SoakHost::Poll(Duration aGrace)
+{
+  if (startAt_ && clock_.Now() >= *startAt_) {
+    Start();
+  }
+  if (process_) {
+    if (const auto code = process_->Wait(std::chrono::milliseconds(0))) {
+      OnExit(*code);
+    }
+  }
+  if (terminatedAt_ && !paused_ &&
+      clock_.Now() - *terminatedAt_ > aGrace + kExitMargin) {
+    ledger_.AddViolation("grace", name_ + " runs on after its grace time");
+    Kill(Duration(0));
+  }
+  AskReady();
+}
+
+void SoakHost::AskReady()
+{
+  if (readiness_.Busy()) {
+    return;
+  }
+  HttpMessage question;
+  question.head.method = "GET";
+  question.head.target = "/-/ready";
+  question.head.fields.Add("Host", name_);
+  readiness_.Call(
+    std::move(question), kReadyTimeout, [this](const ExchangeResult& aResult) {
+      const bool ready = aResult.end == ExchangeEnd::kAnswered &&
+                         aResult.answer.head.status == 200;
+      misses_ = ready ? 0 : misses_ + 1;
+    });
+}
+
+std::string SoakHost::Logs() const
+{
+  return logs_ + (process_ ? process_->Output() : std::string());
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/tests/soak/SoakLedger.cpp
@@ -0,0 +1,287 @@
+#include "soak/SoakLedger.h"
+
+#include "support/ServerStandin.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration kSecond = std::chrono::seconds(1);
+// Of the requests sent after all faults have ended, at least this share is
+// served; the rest is room for requests that met a last connection's end.
+constexpr double kServedShare = 0.95;
+
+bool PromisesNotRun(unsigned aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+std::string FieldOf(const HttpMessage& aMessage, const char* aName)
+{
+  const std::string* value = aMessage.head.fields.Find(aName);
+  return value == nullptr ? std::string() : *value;
+}
+
+HttpMessage AsMessage(const SoakRequest& aRequest)
+{
+  HttpMessage message;
+  message.head.method = aRequest.method;
+  message.head.target = aRequest.target;
+  message.head.fields.Add("Lacewinghoist-Request-Id", aRequest.id);
+  message.body = aRequest.body;
+  return message;
+}
+
+} // namespace
+
+SoakLedger::SoakLedger(const Clock& aClock,
+                       const SoakTerms& aTerms,
+                       bool aPlannedOnly)
+  : clock_(aClock)
+  , terms_(aTerms)
+  , plannedOnly_(aPlannedOnly)
+{
+}
+
+void SoakLedger::AddViolation(const std::string& aRule,
+                              const std::string& aDetail)
+{
+  violations_.push_back(aRule + " " + aDetail);
+}
+
+void SoakLedger::OnSent(SoakRequest aRequest)
+{
+  aRequest.sentAt = clock_.Now();
+  const std::string id = aRequest.id;
+  requests_.emplace(id, std::move(aRequest));
+}
+
+void SoakLedger::OnArrival(const ServerSpec& aServer, bool aCold)
+{
+  if (!aCold) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  std::deque<TimePoint>& arrivals = coldArrivals_[aServer.id];
+  arrivals.push_back(now);
+  while (now - arrivals.front() > kSecond) {
+    arrivals.pop_front();
+  }
+  const double bound =
+    terms_.warmUpRate * terms_.coldOvershoot + terms_.coldSlack;
+  if (static_cast<double>(arrivals.size()) > bound) {
+    AddViolation("cold-start",
+                 aServer.id.value() + " got " +
+                   std::to_string(arrivals.size()) + " requests in a second");
+  }
+}
+
+void SoakLedger::OnRun(const ServerSpec& aServer, const HttpMessage& aRequest)
+{
+  const std::string id = FieldOf(aRequest, "Lacewinghoist-Request-Id");
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    AddViolation("unasked", aServer.id.value() + " runs \"" + id + "\"");
+    return;
+  }
+  SoakRequest& request = found->second;
+  const TimePoint now = clock_.Now();
+  if (request.method != aRequest.head.method ||
+      request.target != aRequest.head.target || request.body != aRequest.body) {
+    AddViolation("unasked", id + " was changed on its way");
+  }
+  if (!routes_.EverAllowed(request.prefix, aServer.service)) {
+    AddViolation("route", id + " ran at " + aServer.service.value());
+  }
+  if (plannedOnly_) {
+    if (!routes_.Allowed(request.prefix,
+                         aServer.service,
+                         request.sentAt - terms_.configApply,
+                         now)) {
+      AddViolation("config", id + " ran at " + aServer.service.value());
+    }
+    const auto left = leaving_.find(aServer.id);
+    if (left != leaving_.end() && now - left->second > terms_.drain) {
+      AddViolation("drain", id + " reached " + aServer.id.value());
+    }
+    const auto out = zonesOut_.find(aServer.zone);
+    if (out != zonesOut_.end() && now - out->second > terms_.evacuate) {
+      AddViolation("evacuation", id + " reached " + aServer.zone.value());
+    }
+  }
+  request.runs.push_back({ aServer.id.value(), aServer.service, now });
+}
+
+void SoakLedger::OnEnded(const std::string& aId, const ExchangeResult& aResult)
+{
+  SoakRequest& request = requests_.at(aId);
+  request.endedAt = clock_.Now();
+  if (aResult.end == ExchangeEnd::kAnswered) {
+    request.status = aResult.answer.head.status;
+    CheckAnswer(request, aResult.answer);
+  } else if (aResult.end == ExchangeEnd::kMalformed) {
+    AddViolation("mixed", aId + " got bytes that are no answer");
+  }
+}
+
+void SoakLedger::OnGaveUp(const std::string& aId)
+{
+  SoakRequest& request = requests_.at(aId);
+  request.gaveUp = true;
+  request.endedAt = clock_.Now();
+}
+
+void SoakLedger::CheckAnswer(const SoakRequest& aRequest,
+                             const HttpMessage& aAnswer)
+{
+  const std::string id = FieldOf(aAnswer, "Lacewinghoist-Request-Id");
+  const std::string signature =
+    FieldOf(aAnswer, "Lacewinghoist-Server-Signature");
+  if (!id.empty() && id != aRequest.id) {
+    AddViolation("mixed", aRequest.id + " got the answer of " + id);
+  }
+  if (aRequest.status == 200 &&
+      (signature.empty() ||
+       aAnswer.body != ServerStandin::AnswerBody(AsMessage(aRequest)))) {
+    AddViolation("mixed", aRequest.id + " got another body");
+  }
+  if (aRequest.status == 404) {
+    AddViolation("denied", aRequest.id + " got 404");
+  }
+}
+
+void SoakLedger::OnServerLeaving(const TargetId& aServer)
+{
+  leaving_.emplace(aServer, clock_.Now());
+}
+
+void SoakLedger::OnZoneOut(const ZoneId& aZone)
+{
+  zonesOut_.emplace(aZone, clock_.Now());
+}
+
+void SoakLedger::OnZoneBack(const ZoneId& aZone)
+{
+  zonesOut_.erase(aZone);
+}
+
+void SoakLedger::CheckRequest(const SoakRequest& aRequest)
+{
+  if (aRequest.atMostOnce && aRequest.runs.size() > 1) {
+    AddViolation("twice", aRequest.id + " ran more than once");
+  }
+  if (aRequest.atMostOnce && !aRequest.runs.empty() &&
+      PromisesNotRun(aRequest.status)) {
+    AddViolation("refused", aRequest.id + " ran and was refused as not run");
+  }
+  std::set<std::string> servers;
+  for (const SoakRequest::Run& run : aRequest.runs) {
+    servers.insert(run.server);
+  }
+  if (servers.size() > terms_.maxAttempts) {
+    AddViolation("attempts", aRequest.id + " ran at too many servers");
+  }
+  if (plannedOnly_) {
+    CheckPlanned(aRequest);
+  }
+}
+
+/** Around planned changes a request is answered, or crosses a close. */
+void SoakLedger::CheckPlanned(const SoakRequest& aRequest)
+{
+  if (aRequest.gaveUp || !aRequest.endedAt) {
+    return;
+  }
+  if (aRequest.status == 0 &&
+      (!aRequest.runs.empty() ||
+       *aRequest.endedAt - aRequest.sentAt > terms_.lossSlack)) {
+    AddViolation("lost", aRequest.id + " got no answer");
+  }
+  if (aRequest.status >= 500 && aRequest.status != 503) {
+    AddViolation("lost",
+                 aRequest.id + " got " + std::to_string(aRequest.status));
+  }
+}
+
+void SoakLedger::CheckRepeats()
+{
+  std::map<ServiceId, std::vector<TimePoint>> sent;
+  std::map<ServiceId, std::vector<TimePoint>> repeats;
+  for (const auto& [id, request] : requests_) {
+    for (std::size_t i = 0; i < request.runs.size(); ++i) {
+      (i == 0 ? sent : repeats)[request.runs[i].service].push_back(
+        request.runs[i].at);
+    }
+  }
+  for (auto& [service, times] : repeats) {
+    std::sort(times.begin(), times.end());
+    const auto count = [this](const std::vector<TimePoint>& aTimes,
+                              TimePoint aEnd) {
+      return std::count_if(aTimes.begin(), aTimes.end(), [&](TimePoint aAt) {
+        return aAt <= aEnd && aAt > aEnd - terms_.repeatWindow;
+      });
+    };
+    for (const TimePoint end : times) {
+      const auto base =
+        std::max(count(sent[service], end),
+                 count(sent[service], end - terms_.repeatWindow / 2));
+      const double bound =
+        terms_.repeatRatio * static_cast<double>(base) + terms_.repeatSlack;
+      if (static_cast<double>(count(times, end)) > bound) {
+        AddViolation("repeats", service.value() + " got too many repeats");
+        return;
+      }
+    }
+  }
+}
+
+void SoakLedger::CheckWhole()
+{
+  for (const auto& [id, request] : requests_) {
+    CheckRequest(request);
+  }
+  CheckRepeats();
+}
+
+void SoakLedger::CheckServed(TimePoint aFrom)
+{
+  std::size_t sent = 0;
+  std::size_t served = 0;
+  for (const auto& [id, request] : requests_) {
+    if (request.sentAt >= aFrom && !request.gaveUp && request.endedAt) {
+      ++sent;
+      served += request.status == 200 ? 1 : 0;
+    }
+  }
+  if (static_cast<double>(served) < kServedShare * static_cast<double>(sent) ||
+      sent == 0) {
+    AddViolation("recovery",
+                 std::to_string(served) + " of " + std::to_string(sent) +
+                   " requests were served after the last fault");
+  }
+}
+
+std::string SoakLedger::Summary() const
+{
+  std::map<unsigned, std::size_t> statuses;
+  std::size_t runs = 0;
+  for (const auto& [id, request] : requests_) {
+    ++statuses[request.gaveUp ? 1 : request.status];
+    runs += request.runs.size();
+  }
+  std::string text = "requests=" + std::to_string(requests_.size()) +
+                     " runs=" + std::to_string(runs);
+  for (const auto& [status, count] : statuses) {
+    text += (status == 0   ? " lost"
+             : status == 1 ? " gave_up"
+                           : " status_" + std::to_string(status)) +
+            std::string("=") + std::to_string(count);
+  }
+  return text;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/tests/soak/SoakServer.h
@@ -0,0 +1,24 @@
+#ifndef TESTS_SOAK_SOAKSERVER_H
+#define TESTS_SOAK_SOAKSERVER_H
+
+#include "standin/ProxyPair.h"
+#include "support/ServerStandin.h"
+
+#include <memory>
+
+namespace lacewing {
+
+/** A server, the link to it, and what the store says of it. */
+struct SoakServer
+{
+  ServerSpec spec;
+  std::uint64_t born = 0;
+  bool draining = false;
+  std::unique_ptr<ProxyPair> link;
+  /** Null while it is down. */
+  std::unique_ptr<ServerStandin> process;
+};
+
+} // namespace lacewing
+
+#endif // TESTS_SOAK_SOAKSERVER_H
--- /dev/null
+++ b/tests/soak/SoakTerms.h
@@ -0,0 +1,30 @@
+#ifndef TESTS_SOAK_SOAKTERMS_H
+#define TESTS_SOAK_SOAKTERMS_H
+
+#include "lacewing/Clock.h"
+
+namespace lacewing {
+
+/** The users' bounds, as the hosts' settings state them and checks use them. */
+struct SoakTerms
+{
+  double repeatRatio = 0.2;
+  Duration repeatWindow = std::chrono::seconds(10);
+  double repeatSlack = 20;
+  Duration warmUp = std::chrono::milliseconds(1500);
+  double warmUpRate = 5;
+  double coldOvershoot = 1.5;
+  double coldSlack = 8;
+  Duration drain = std::chrono::milliseconds(2500);
+  Duration configApply = std::chrono::milliseconds(2500);
+  Duration evacuate = std::chrono::seconds(5);
+  Duration grace = std::chrono::seconds(6);
+  /** A request that crosses the host's close may be lost within this time. */
+  Duration lossSlack = std::chrono::milliseconds(200);
+  Duration recovery = std::chrono::seconds(15);
+  unsigned maxAttempts = 2;
+};
+
+} // namespace lacewing
+
+#endif // TESTS_SOAK_SOAKTERMS_H
--- /dev/null
+++ b/tests/soak/SoakWorld.h
@@ -0,0 +1,98 @@
+#ifndef TESTS_SOAK_SOAKWORLD_H
+#define TESTS_SOAK_SOAKWORLD_H
+
+#include "core/MonotonicClock.h"
+#include "soak/SoakCaller.h"
+#include "soak/SoakHost.h"
+#include "soak/SoakNetwork.h"
+#include "soak/SoakOptions.h"
+#include "soak/SoakServer.h"
+#include "support/StoreStandin.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/** An installation on this machine: store, servers, hosts and callers. */
+class SoakWorld
+{
+public:
+  explicit SoakWorld(const SoakOptions& aOptions);
+
+  asio::io_context& Context() { return context_; }
+  const Clock& Time() const { return clock_; }
+  SoakLedger& Ledger() { return ledger_; }
+  const SoakTerms& Terms() const { return terms_; }
+  StoreStandin& Store() { return store_; }
+  std::vector<std::unique_ptr<SoakHost>>& Hosts() { return hosts_; }
+  std::list<SoakServer>& Servers() { return servers_; }
+
+  /** Runs aDo after aDelay on the world's thread. */
+  void After(Duration aDelay, std::function<void()> aDo);
+
+  /** Starts hosts, and callers once a host is ready. */
+  void Start();
+  void RunUntil(TimePoint aEnd);
+  /** Runs until each host is ready; false when that takes over aLimit. */
+  bool RunUntilReady(Duration aLimit);
+
+  /** A new server, cold when aCold holds, entered in the store. */
+  SoakServer& AddServer(const ServiceId& aService,
+                        const ZoneId& aZone,
+                        bool aCold);
+  /** Takes the entry back and ends the server. */
+  void RemoveServer(const TargetId& aServer);
+  /** Starts a server that is down under a new id, cold, at its old address. */
+  void ReviveServer(SoakServer& aServer, const ServiceId& aService);
+  void WriteServer(const SoakServer& aServer);
+  SoakServer* FindServer(const TargetId& aServer);
+  /** The link that listens there; null when it is gone. */
+  ProxyPair* FindLink(const Endpoint& aListen);
+  /** A serving server picked by aRandom; null when few are left. */
+  SoakServer* PickServer(std::mt19937_64& aRandom);
+
+  /** Moves a route to the other service in a new version. */
+  void MoveRoute();
+
+  ZoneId ZoneAt(std::size_t aIndex) const;
+  std::size_t Zones() const { return options_.zones; }
+
+private:
+  nlohmann::json HostSettings(std::size_t aIndex) const;
+  void WriteConfiguration();
+  void StartProcess(SoakServer& aServer);
+  void Poll();
+  std::optional<Endpoint> PickHost();
+  SoakRequest MakeRequest();
+
+  const SoakOptions options_;
+  const SoakTerms terms_;
+  std::mt19937_64 random_;
+  MonotonicClock clock_;
+  asio::io_context context_;
+  SoakNetwork network_;
+  SoakLedger ledger_;
+  StoreStandin store_;
+  std::list<SoakServer> servers_;
+  std::vector<std::unique_ptr<SoakHost>> hosts_;
+  std::vector<std::unique_ptr<SoakCaller>> callers_;
+  std::list<asio::steady_timer> timers_;
+  asio::steady_timer poll_;
+  std::uint64_t version_ = 0;
+  bool moved_ = false;
+  std::uint64_t requests_ = 0;
+  std::uint64_t serverCount_ = 0;
+};
+
+} // namespace lacewing
+
+#endif // TESTS_SOAK_SOAKWORLD_H
--- /dev/null
+++ b/tests/soak/lacewing_soak.cpp
@@ -0,0 +1,87 @@
+#include "core/Log.h"
+#include "flags/ProgramFlags.h"
+#include "soak/FaultDriver.h"
+
+#include <absl/flags/flag.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "decides faults, callers and their times");
+ABSL_FLAG(int, seconds, 12, "how long faults strike");
+ABSL_FLAG(bool,
+          planned,
+          false,
+          "planned changes only, around which nothing may be lost");
+ABSL_FLAG(int, hosts, 2, "hosts in each zone");
+ABSL_FLAG(std::string,
+          keep_logs,
+          "",
+          "folder for the hosts' logs of a run that fails");
+
+namespace {
+
+using namespace lacewing;
+
+// How long callers are watched after the last fault.
+constexpr Duration kCalm = std::chrono::seconds(3);
+
+void KeepLogs(SoakWorld& aWorld, const std::string& aFolder)
+{
+  for (const auto& host : aWorld.Hosts()) {
+    std::ofstream(aFolder + "/" + host->Name() + ".log") << host->Logs();
+  }
+}
+
+int Run(const SoakOptions& aOptions)
+{
+  SoakWorld world(aOptions);
+  FaultDriver driver(world, aOptions);
+  world.Start();
+  driver.Start(world.Time().Now() + aOptions.length);
+  world.RunUntil(world.Time().Now() + aOptions.length);
+  world.RunUntil(driver.LastEnd());
+  if (!world.RunUntilReady(world.Terms().recovery)) {
+    world.Ledger().AddViolation("recovery", "a host is not ready");
+  }
+  const TimePoint calm = world.Time().Now();
+  world.RunUntil(calm + kCalm);
+  world.Ledger().CheckServed(calm);
+  world.Ledger().CheckWhole();
+  for (const std::string& violation : world.Ledger().Violations()) {
+    std::cout << "event=violation " << violation << '\n';
+  }
+  const bool passed = world.Ledger().Violations().empty();
+  std::cout << "event=end seed=" << aOptions.seed
+            << " planned=" << aOptions.plannedOnly << ' '
+            << world.Ledger().Summary()
+            << " verdict=" << (passed ? "passed" : "failed") << std::endl;
+  if (!passed && !aOptions.keepLogs.empty()) {
+    KeepLogs(world, aOptions.keepLogs);
+  }
+  return passed ? 0 : 1;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  lacewing::ParseProgramFlags(
+    "lacewing-soak",
+    "Runs lacewing-hostd processes under random faults and checks what callers "
+    "and servers see.\n"
+    "lacewing-soak [--seed N] [--seconds N] [--planned] [--hosts N] "
+    "[--keep_logs FOLDER]",
+    aCount,
+    aArguments);
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLogging(LogLevel::kError);
+  SoakOptions options;
+  options.seed = absl::GetFlag(FLAGS_seed);
+  options.length = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+  options.plannedOnly = absl::GetFlag(FLAGS_planned);
+  options.hostsPerZone = static_cast<std::size_t>(absl::GetFlag(FLAGS_hosts));
+  options.keepLogs = absl::GetFlag(FLAGS_keep_logs);
+  return Run(options);
+}
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -48,6 +48,8 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, aOutputFile.c_str(), O_WRONLY | O_APPEND, 0);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // An inherited socket would stay open after the test closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = -1;
   const int error = posix_spawn(
     &pid, aPath.c_str(), &actions, nullptr, arguments.data(), environ);
--- /dev/null
+++ b/tests/support/ServerFaults.h
@@ -0,0 +1,27 @@
+#ifndef TESTS_SUPPORT_SERVERFAULTS_H
+#define TESTS_SUPPORT_SERVERFAULTS_H
+
+namespace lacewing {
+
+/** What is wrong with a stand-in server; each may hold with others. */
+struct ServerFaults
+{
+  /** Work takes so many times as long. */
+  double slowFactor = 1;
+  /** Every request is shed as not run, while health answers look idle. */
+  bool shed = false;
+  /** Every request runs and is answered 500. */
+  bool fail = false;
+  /** Requests run and are never answered. */
+  bool mute = false;
+  /** Every third answer is lost with its connection. */
+  bool loseAnswers = false;
+  /** Every third answer ends in its middle. */
+  bool truncate = false;
+  /** Every third answer comes a second time 20 ms later. */
+  bool repeat = false;
+};
+
+} // namespace lacewing
+
+#endif // TESTS_SUPPORT_SERVERFAULTS_H
--- /dev/null
+++ b/tests/support/ServerStandin.cpp
@@ -0,0 +1,312 @@
+#include "support/ServerStandin.h"
+
+#include "core/StableHash.h"
+#include "http/AsyncRead.h"
+#include "http/MessageBytes.h"
+#include "http/MessageParser.h"
+
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr const char* kIdField = "Lacewinghoist-Request-Id";
+constexpr const char* kHealthPath = "/health";
+// Every so many answers an occasional fault strikes.
+constexpr unsigned kFaultEvery = 3;
+constexpr Duration kRepeatAfter = std::chrono::milliseconds(20);
+
+std::string FieldOf(const HttpMessage& aMessage, const char* aName)
+{
+  const std::string* value = aMessage.head.fields.Find(aName);
+  return value == nullptr ? std::string() : *value;
+}
+
+std::string BytesOf(const HttpMessage& aAnswer)
+{
+  return AnswerHeadBytes(aAnswer.head, aAnswer.body.size()) + aAnswer.body;
+}
+
+} // namespace
+
+/** One connection, on which requests come one at a time. */
+class ServerStandin::Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(ServerStandin& aServer, asio::ip::tcp::socket aSocket)
+    : server_(&aServer)
+    , socket_(std::move(aSocket))
+    , parser_(MessageSide::kRequest, ParserLimits())
+  {
+    asio::error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  }
+
+  void Read()
+  {
+    AsyncRead(socket_,
+              [self = shared_from_this()](const asio::error_code& aError,
+                                          std::string_view aBytes) {
+                self->OnRead(aError, aBytes);
+              });
+  }
+
+  void Write(std::string aBytes, bool aThenClose)
+  {
+    const auto bytes = std::make_shared<const std::string>(std::move(aBytes));
+    asio::async_write(socket_,
+                      asio::buffer(*bytes),
+                      [self = shared_from_this(), bytes, aThenClose](
+                        const asio::error_code& aError, std::size_t) {
+                        if (aError || aThenClose) {
+                          self->Close();
+                        }
+                      });
+  }
+
+  void WriteLater(std::string aBytes)
+  {
+    const auto timer =
+      std::make_shared<asio::steady_timer>(socket_.get_executor());
+    timer->expires_after(kRepeatAfter);
+    timer->async_wait(
+      [self = shared_from_this(), timer, bytes = std::move(aBytes)](
+        const asio::error_code&) mutable {
+        if (self->Open()) {
+          self->Write(std::move(bytes), false);
+        }
+      });
+  }
+
+  void Close()
+  {
+    asio::error_code ignored;
+    socket_.close(ignored);
+    if (ServerStandin* server = std::exchange(server_, nullptr)) {
+      server->sessions_.erase(shared_from_this());
+    }
+  }
+
+  /** The server is gone; nothing is reported to it any more. */
+  void Detach()
+  {
+    server_ = nullptr;
+    asio::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  bool Open() const { return server_ != nullptr; }
+
+private:
+  void OnRead(const asio::error_code& aError, std::string_view aBytes)
+  {
+    if (aError) {
+      Close();
+      return;
+    }
+    while (!aBytes.empty() && Open() &&
+           parser_.Failure() == ParseFailure::kNone) {
+      aBytes.remove_prefix(parser_.Feed(aBytes));
+      if (parser_.Whole()) {
+        server_->Serve(shared_from_this(), parser_.Take());
+      }
+    }
+    if (parser_.Failure() != ParseFailure::kNone) {
+      Close();
+    }
+    if (Open()) {
+      Read();
+    }
+  }
+
+  ServerStandin* server_;
+  asio::ip::tcp::socket socket_;
+  MessageParser parser_;
+};
+
+ServerStandin::ServerStandin(asio::io_context& aContext,
+                             const Clock& aClock,
+                             const ServerSpec& aSpec,
+                             RunHandler aOnRun,
+                             ArrivalHandler aOnArrival)
+  : context_(aContext)
+  , clock_(aClock)
+  , spec_(aSpec)
+  , startedAt_(aClock.Now())
+  , onRun_(std::move(aOnRun))
+  , onArrival_(std::move(aOnArrival))
+  , acceptor_(
+      aContext,
+      { asio::ip::make_address(aSpec.listen.address), aSpec.listen.port })
+{
+  Accept();
+}
+
+ServerStandin::~ServerStandin()
+{
+  for (const auto& session : std::exchange(sessions_, {})) {
+    session->Detach();
+  }
+}
+
+bool ServerStandin::Cold() const
+{
+  return clock_.Now() - startedAt_ < spec_.cold;
+}
+
+void ServerStandin::Accept()
+{
+  acceptor_.async_accept(
+    [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
+      if (aError) {
+        return;
+      }
+      const auto session = std::make_shared<Session>(*this, std::move(aSocket));
+      sessions_.insert(session);
+      session->Read();
+      Accept();
+    });
+}
+
+void ServerStandin::Serve(const std::shared_ptr<Session>& aSession,
+                          HttpMessage aRequest)
+{
+  if (aRequest.head.method == "GET" && aRequest.head.target == kHealthPath) {
+    ServeHealth(aSession, aRequest);
+    return;
+  }
+  const std::string expected =
+    FieldOf(aRequest, "Lacewinghoist-Expected-Instance");
+  if (!expected.empty() && expected != spec_.id.value()) {
+    aSession->Write(BytesOf(NotRun(421, aRequest)), false);
+    return;
+  }
+  onArrival_(spec_, Cold());
+  if (faults_.shed) {
+    aSession->Write(BytesOf(NotRun(503, aRequest)), false);
+  } else if (running_ < spec_.slots) {
+    Run(aSession, std::move(aRequest));
+  } else if (waiting_.size() < spec_.queue) {
+    waiting_.push_back({ aSession, std::move(aRequest) });
+  } else {
+    aSession->Write(BytesOf(NotRun(503, aRequest)), false);
+  }
+}
+
+void ServerStandin::ServeHealth(const std::shared_ptr<Session>& aSession,
+                                const HttpMessage& aRequest)
+{
+  const bool full = !spec_.tellsLoad && running_ >= spec_.slots;
+  HttpMessage health = full ? NotRun(503, aRequest) : Answer(200, aRequest);
+  health.head.fields.Add("Lacewinghoist-Instance-Id", spec_.id.value());
+  aSession->Write(BytesOf(health), false);
+}
+
+void ServerStandin::StartNext()
+{
+  while (!waiting_.empty() && running_ < spec_.slots) {
+    Waiting next = std::move(waiting_.front());
+    waiting_.pop_front();
+    // A request whose connection has closed is dropped unrun.
+    if (next.session->Open()) {
+      Run(next.session, std::move(next.request));
+    }
+  }
+}
+
+void ServerStandin::Run(const std::shared_ptr<Session>& aSession,
+                        HttpMessage aRequest)
+{
+  ++running_;
+  onRun_(spec_, aRequest);
+  const auto timer = std::make_shared<asio::steady_timer>(context_);
+  timer->expires_after(
+    std::chrono::duration_cast<Duration>(spec_.work * faults_.slowFactor));
+  timer->async_wait([this,
+                     timer,
+                     aSession,
+                     alive = std::weak_ptr<char>(alive_),
+                     request = std::move(aRequest)](const asio::error_code&) {
+    if (alive.expired()) {
+      return;
+    }
+    --running_;
+    if (aSession->Open()) {
+      Finish(aSession, request);
+    }
+    StartNext();
+  });
+}
+
+void ServerStandin::Finish(const std::shared_ptr<Session>& aSession,
+                           const HttpMessage& aRequest)
+{
+  HttpMessage answer = Answer(faults_.fail ? 500 : 200, aRequest);
+  answer.head.fields.Add("Lacewinghoist-Server-Signature", spec_.id.value());
+  answer.body = AnswerBody(aRequest);
+  const std::string bytes = BytesOf(answer);
+  const bool strikes = ++answers_ % kFaultEvery == 0;
+  if (strikes && faults_.loseAnswers) {
+    aSession->Close();
+  } else if (strikes && faults_.truncate) {
+    aSession->Write(bytes.substr(0, bytes.size() - answer.body.size() / 2),
+                    true);
+  } else if (!faults_.mute) {
+    aSession->Write(bytes, false);
+    if (strikes && faults_.repeat) {
+      aSession->WriteLater(bytes);
+    }
+  }
+}
+
+HttpMessage ServerStandin::Answer(unsigned aStatus,
+                                  const HttpMessage& aRequest) const
+{
+  HttpMessage answer;
+  answer.head.status = aStatus;
+  if (const std::string id = FieldOf(aRequest, kIdField); !id.empty()) {
+    answer.head.fields.Add(kIdField, id);
+  }
+  if (spec_.tellsLoad) {
+    answer.head.fields.Add("Lacewinghoist-Server-Load", LoadText());
+  }
+  if (Cold()) {
+    const auto left = spec_.cold - (clock_.Now() - startedAt_);
+    answer.head.fields.Add(
+      "Lacewinghoist-Warmup-Ms",
+      std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+  }
+  return answer;
+}
+
+std::string ServerStandin::LoadText() const
+{
+  const bool idle = faults_.shed;
+  const auto slowdown = static_cast<unsigned>(100 * faults_.slowFactor);
+  return std::to_string(idle ? 0 : running_) + "," +
+         std::to_string(idle ? 0 : waiting_.size()) + "," +
+         std::to_string(spec_.slots) + "," + std::to_string(slowdown);
+}
+
+HttpMessage ServerStandin::NotRun(unsigned aStatus,
+                                  const HttpMessage& aRequest) const
+{
+  HttpMessage answer = Answer(aStatus, aRequest);
+  answer.head.fields.Add("Lacewinghoist-Not-Executed", "1");
+  return answer;
+}
+
+std::string ServerStandin::AnswerBody(const HttpMessage& aRequest)
+{
+  return FieldOf(aRequest, kIdField) + " " + aRequest.head.method + " " +
+         aRequest.head.target + " " +
+         std::to_string(StableHash64(aRequest.body, 0));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/tests/support/ServerStandin.h
@@ -0,0 +1,91 @@
+#ifndef TESTS_SUPPORT_SERVERSTANDIN_H
+#define TESTS_SUPPORT_SERVERSTANDIN_H
+
+#include "http/HttpMessage.h"
+#include "support/ServerFaults.h"
+#include "support/ServerSpec.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lacewing {
+
+/**
+ * Stand-in for a server of the platform, by its published protocol: slots and
+ * a queue, load and warm-up headers, the request's id in each answer, 421 for
+ * another instance's requests. Destroying it is a crash.
+ */
+class ServerStandin
+{
+public:
+  /** Called when a request begins to run. */
+  using RunHandler =
+    std::function<void(const ServerSpec& aServer, const HttpMessage& aRequest)>;
+  /** Called when a request arrives that another instance is not meant for. */
+  using ArrivalHandler =
+    std::function<void(const ServerSpec& aServer, bool aCold)>;
+
+  ServerStandin(asio::io_context& aContext,
+                const Clock& aClock,
+                const ServerSpec& aSpec,
+                RunHandler aOnRun,
+                ArrivalHandler aOnArrival);
+  ~ServerStandin();
+  ServerStandin(const ServerStandin&) = delete;
+  ServerStandin& operator=(const ServerStandin&) = delete;
+
+  const ServerSpec& Spec() const { return spec_; }
+  bool Cold() const;
+
+  void SetFaults(const ServerFaults& aFaults) { faults_ = aFaults; }
+  const ServerFaults& Faults() const { return faults_; }
+
+  /** The body with which a request is answered. */
+  static std::string AnswerBody(const HttpMessage& aRequest);
+
+private:
+  class Session;
+
+  void Accept();
+  void Serve(const std::shared_ptr<Session>& aSession, HttpMessage aRequest);
+  void ServeHealth(const std::shared_ptr<Session>& aSession,
+                   const HttpMessage& aRequest);
+  void StartNext();
+  void Run(const std::shared_ptr<Session>& aSession, HttpMessage aRequest);
+  void Finish(const std::shared_ptr<Session>& aSession,
+              const HttpMessage& aRequest);
+  HttpMessage Answer(unsigned aStatus, const HttpMessage& aRequest) const;
+  std::string LoadText() const;
+  HttpMessage NotRun(unsigned aStatus, const HttpMessage& aRequest) const;
+
+  struct Waiting
+  {
+    std::shared_ptr<Session> session;
+    HttpMessage request;
+  };
+
+  asio::io_context& context_;
+  const Clock& clock_;
+  const ServerSpec spec_;
+  const TimePoint startedAt_;
+  RunHandler onRun_;
+  ArrivalHandler onArrival_;
+  ServerFaults faults_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<Session>> sessions_;
+  std::list<Waiting> waiting_;
+  std::size_t running_ = 0;
+  unsigned answers_ = 0;
+  /** Expires with this, for timers that are still to fire. */
+  std::shared_ptr<char> alive_ = std::make_shared<char>();
+};
+
+} // namespace lacewing
+
+#endif // TESTS_SUPPORT_SERVERSTANDIN_H
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -46,6 +46,7 @@
 StoreStandin::StoreStandin(asio::io_context& aContext,
                            const Endpoint& aEndpoint)
   : context_(aContext)
+  , address_(aEndpoint.address)
   , server_(SmallHttpServer::Make(aContext,
                                   aEndpoint,
                                   [this](const HttpMessage& aRequest,
@@ -97,6 +98,7 @@
 {
   ++calls_;
   const std::string& target = aRequest.head.target;
+  cheapCalls_ += Parameter(target, "serializable").empty() ? 0 : 1;
   if (fault_ == StoreFault::kSilent) {
     swallowed_.push_back(std::move(aRespond));
     return;
--- a/tests/support/StoreStandin.h
+++ b/tests/support/StoreStandin.h
@@ -38,7 +38,7 @@
 public:
   StoreStandin(asio::io_context& aContext, const Endpoint& aEndpoint);
 
-  Endpoint Address() const { return { "127.0.0.1", server_->Port() }; }
+  Endpoint Address() const { return { address_, server_->Port() }; }
 
   void Put(const std::string& aKind,
            const std::string& aName,
@@ -52,6 +52,8 @@
 
   /** Calls that arrived, refused ones included. */
   std::uint64_t Calls() const { return calls_; }
+  /** Those of them that may be answered from an older state. */
+  std::uint64_t CheapCalls() const { return cheapCalls_; }
 
   bool Has(const std::string& aKind, const std::string& aName) const;
 
@@ -92,6 +94,7 @@
                              std::uint64_t aSince) const;
 
   asio::io_context& context_;
+  const std::string address_;
   std::unique_ptr<SmallHttpServer> server_;
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::vector<Event> history_;
@@ -101,6 +104,7 @@
   std::uint64_t revision_ = 100;
   std::uint64_t forgotten_ = 0;
   std::uint64_t calls_ = 0;
+  std::uint64_t cheapCalls_ = 0;
   StoreFault fault_ = StoreFault::kNone;
 };
 
