--- /dev/null
+++ b/src/balance/HedgeRule.cpp
@@ -0,0 +1,36 @@
+#include "balance/HedgeRule.h"
+
+namespace lacewing {
+
+namespace {
+
+// Multiples of the usual work: at the first one a target that was seen to be
+// slowed, at the second one any target is left behind.
+constexpr double kSlowed = 1.15;
+constexpr double kAnyhow = 1.8;
+// Readings from this slowdown on make a target look stuck.
+constexpr unsigned kStuckPercent = 150;
+
+Duration Times(Duration aWork, double aFactor)
+{
+  return std::chrono::duration_cast<Duration>(aWork * aFactor);
+}
+
+} // namespace
+
+Duration HedgeAfter(Duration aUsualWork)
+{
+  return Times(aUsualWork, kSlowed);
+}
+
+Duration LastHedgeAfter(Duration aUsualWork)
+{
+  return Times(aUsualWork, kAnyhow);
+}
+
+bool LooksSlowed(unsigned aSlowdownPercent)
+{
+  return aSlowdownPercent >= kStuckPercent;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/balance/HedgeRule.h
@@ -0,0 +1,19 @@
+#ifndef BALANCE_HEDGERULE_H
+#define BALANCE_HEDGERULE_H
+
+#include "lacewing/Clock.h"
+
+namespace lacewing {
+
+/** How long a request is in flight before its target's state is looked at. */
+Duration HedgeAfter(Duration aUsualWork);
+
+/** How long until it goes to a second target whatever that state is. */
+Duration LastHedgeAfter(Duration aUsualWork);
+
+/** Whether a target so slow is taken to be stuck; 100 is its usual speed. */
+bool LooksSlowed(unsigned aSlowdownPercent);
+
+} // namespace lacewing
+
+#endif // BALANCE_HEDGERULE_H
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -5,6 +5,7 @@
 #include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
 #include "fleet/HostDirectory.h"
+#include "fleet/Membership.h"
 #include "fleet/PeerExchange.h"
 #include "fleet/TargetDuties.h"
 #include "metrics/MetricsPage.h"
@@ -48,8 +49,7 @@
   const TimePoint startedAt;
   TimePoint confirmedAt;
   TimePoint distrustUntil;
-  /** Names the fleet as the snapshot was built for it. */
-  std::string membership;
+  Membership membership;
   unsigned ticks = 0;
   WatchRole role = WatchRole::kNone;
   bool storeOk = true;
@@ -260,18 +260,7 @@
 
   void OnMembership()
   {
-    std::string now;
-    for (const OwnerCandidate& host : peers->Candidates()) {
-      now += host.host.value() + ' ';
-    }
-    for (const ZoneId& zone : peers->AliveZones()) {
-      now += zone.value() + ' ';
-    }
-    now += std::to_string(peers->HostCount()) + '-' +
-           std::to_string(peers->SilentHosts());
-    if (now != membership) {
-      membership = std::move(now);
-      Log(LogLevel::kInfo, "members", { { "alive", membership } });
+    if (membership.Update(*peers)) {
       duties.Rebuild(view, *peers);
     }
     Elect();
--- /dev/null
+++ b/src/fleet/Membership.cpp
@@ -0,0 +1,54 @@
+#include "fleet/Membership.h"
+
+#include "core/Log.h"
+
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+/** The names in aLeft that are not in aRight, with spaces between. */
+std::string Missing(const std::set<std::string>& aLeft,
+                    const std::set<std::string>& aRight)
+{
+  std::string text;
+  for (const std::string& name : aLeft) {
+    if (aRight.count(name) == 0) {
+      text += (text.empty() ? "" : " ") + name;
+    }
+  }
+  return text;
+}
+
+} // namespace
+
+bool Membership::Update(const PeerExchange& aPeers)
+{
+  std::set<std::string> members;
+  for (const OwnerCandidate& host : aPeers.Candidates()) {
+    members.insert(host.host.value());
+  }
+  for (const ZoneId& zone : aPeers.AliveZones()) {
+    members.insert(zone.value());
+  }
+  const unsigned hosts = aPeers.HostCount();
+  const unsigned silent = aPeers.SilentHosts();
+  if (members == members_ && hosts == hosts_ && silent == silent_) {
+    return false;
+  }
+  // Only the difference: whole lists would grow with the square of a zone's
+  // hosts when all of them start.
+  Log(LogLevel::kInfo,
+      "members",
+      { { "joined", Missing(members, members_) },
+        { "left", Missing(members_, members) },
+        { "hosts", std::to_string(hosts) },
+        { "silent", std::to_string(silent) } });
+  members_ = std::move(members);
+  hosts_ = hosts;
+  silent_ = silent;
+  return true;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/gateway/AttemptLearning.cpp
@@ -0,0 +1,40 @@
+#include "gateway/AttemptLearning.h"
+
+namespace lacewing {
+
+void LearnFrom(TrafficState& aState,
+               const RouteSpec& aRoute,
+               const Attempt& aAttempt,
+               AttemptEnd aEnd,
+               const ExchangeResult& aResult)
+{
+  const TimePoint now = aState.Now();
+  const HeaderNames& names = aState.Names();
+  LocalView& view = aState.ViewOf(aAttempt.target.id);
+  view.OnEnded();
+  const std::string* load = aResult.answer.head.fields.Find(names.load);
+  if (load != nullptr && names.parseLoad != nullptr) {
+    if (const auto parsed = names.parseLoad(*load)) {
+      view.OnLoad(now, *parsed);
+    }
+  }
+  switch (aEnd) {
+    case AttemptEnd::kSuccess:
+      view.OnSuccess(now);
+      aState.LearningOf(aRoute).OnAnswer(now - aAttempt.sentAt,
+                                         aAttempt.choice.slowdownPercent,
+                                         ByteCount(aResult.answer.body.size()));
+      break;
+    case AttemptEnd::kNotRun:
+    case AttemptEnd::kTargetFailure:
+      view.OnFailure(now, 1);
+      break;
+    case AttemptEnd::kNotSent:
+    case AttemptEnd::kUnknown:
+      view.OnFailure(now, 1);
+      view.OnTrouble(now);
+      break;
+  }
+}
+
+} // namespace lacewing
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -1,24 +1,20 @@
 #include "gateway/Exchange.h"
 
+#include "balance/HedgeRule.h"
 #include "balance/RepeatRule.h"
-#include "core/Log.h"
 #include "gateway/AnswerCheck.h"
+#include "gateway/AttemptLearning.h"
+#include "gateway/OwnAnswerCount.h"
+#include "gateway/RequestDeadline.h"
 #include "http/HopFields.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace lacewing {
 
 namespace {
 
-// A request in flight for this many times the usual work is sent to a second
-// target when its target was seen to be slowed, or for the longer one anyhow.
-constexpr double kHedgeSlowed = 1.15;
-constexpr double kHedgeAnyhow = 1.8;
-// Readings from this slowdown on make a target look stuck.
-constexpr unsigned kStuckPercent = 150;
 // Targets that are asked before a request is given up; only those that got no
 // byte may go beyond the route's attempts.
 constexpr unsigned kMaxTries = 6;
@@ -31,15 +27,6 @@
 // other requests end; without a route, after a fixed time.
 constexpr int kRetryDivisor = 3;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
-// The sender's patience when it states none beyond the route's timeout.
-constexpr Duration kLongest = std::chrono::hours(1);
-
-std::string Milliseconds(Duration aDuration)
-{
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
-}
-
 } // namespace
 
 Exchange::Exchange(TrafficState& aState, HttpMessage aRequest, Handler aHandler)
@@ -63,20 +50,6 @@
   return field == nullptr ? std::string() : *field;
 }
 
-void Exchange::ReadDeadline()
-{
-  const std::string text = FieldOf(state_.Names().deadline);
-  Duration patience = kLongest;
-  std::int64_t milliseconds = 0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-  if (!text.empty() && error == std::errc() && milliseconds >= 0) {
-    patience =
-      std::min<Duration>(std::chrono::milliseconds(milliseconds), kLongest);
-  }
-  deadline_ = startedAt_ + std::min(patience, route_->timeout);
-}
-
 void Exchange::Start()
 {
   ++state_.Counters().requests;
@@ -91,13 +64,12 @@
     FinishOwn(OwnAnswerKind::kNoRoute);
     return;
   }
-  ReadDeadline();
+  deadline_ =
+    DeadlineOf(FieldOf(state_.Names().deadline), startedAt_, route_->timeout);
   service_ = state_.SplitOf(route_->name).Next(route_->shares);
   state_.RepeatsOf(service_).CountRequest(startedAt_);
   ArmDeadline();
-  if (!Seek()) {
-    WaitForRoom();
-  }
+  SeekOrWait();
 }
 
 void Exchange::ArmDeadline()
@@ -131,7 +103,7 @@
   const auto load = state_.Load();
   const LoadReading* reading = load->Find(aAttempt.target.id);
   return reading == nullptr || reading->state != ReadingState::kServing ||
-         reading->load.slowdownPercent >= kStuckPercent;
+         LooksSlowed(reading->load.slowdownPercent);
 }
 
 void Exchange::OnHedge(bool aLast)
@@ -142,9 +114,7 @@
   }
   const Duration work = state_.LearningOf(*route_).UsualWork();
   if (!aLast && !LooksStuck(attempts_.front())) {
-    ArmHedge(std::chrono::duration_cast<Duration>(
-               work * (kHedgeAnyhow - kHedgeSlowed)),
-             true);
+    ArmHedge(LastHedgeAfter(work) - HedgeAfter(work), true);
     return;
   }
   // A second attempt that cannot end in time, or that takes the room of first
@@ -214,7 +184,7 @@
   head.method = head_.method;
   head.target = head_.target;
   head.fields = EndToEndFields(head_.fields);
-  head.fields.Set(names.deadline, Milliseconds(deadline_ - state_.Now()));
+  head.fields.Set(names.deadline, MillisecondsText(deadline_ - state_.Now()));
   head.fields.Set(names.expectedTarget, aTarget.id.value());
   return head;
 }
@@ -245,42 +215,7 @@
     });
   attempts_.push_back(std::move(attempt));
   if (sent_ == 1 && !RunsAtMostOnce(route_->requestClass)) {
-    const Duration work = state_.LearningOf(*route_).UsualWork();
-    ArmHedge(std::chrono::duration_cast<Duration>(work * kHedgeSlowed), false);
-  }
-}
-
-void Exchange::Learn(const Attempt& aAttempt,
-                     AttemptEnd aEnd,
-                     const ExchangeResult& aResult)
-{
-  const TimePoint now = state_.Now();
-  const HeaderNames& names = state_.Names();
-  LocalView& view = state_.ViewOf(aAttempt.target.id);
-  view.OnEnded();
-  const std::string* load = aResult.answer.head.fields.Find(names.load);
-  if (load != nullptr && names.parseLoad != nullptr) {
-    if (const auto parsed = names.parseLoad(*load)) {
-      view.OnLoad(now, *parsed);
-    }
-  }
-  switch (aEnd) {
-    case AttemptEnd::kSuccess:
-      view.OnSuccess(now);
-      state_.LearningOf(*route_).OnAnswer(
-        now - aAttempt.sentAt,
-        aAttempt.choice.slowdownPercent,
-        ByteCount(aResult.answer.body.size()));
-      break;
-    case AttemptEnd::kNotRun:
-    case AttemptEnd::kTargetFailure:
-      view.OnFailure(now, 1);
-      break;
-    case AttemptEnd::kNotSent:
-    case AttemptEnd::kUnknown:
-      view.OnFailure(now, 1);
-      view.OnTrouble(now);
-      break;
+    ArmHedge(HedgeAfter(state_.LearningOf(*route_).UsualWork()), false);
   }
 }
 
@@ -296,9 +231,9 @@
   Attempt attempt = std::move(*found);
   attempts_.erase(found);
   const AttemptEnd end = Classify(aResult, state_.Names());
-  Learn(attempt, end, aResult);
+  LearnFrom(state_, *route_, attempt, end, aResult);
   state_.Pool().Put(attempt.target, std::move(attempt.connection));
-  LogAttempt(attempt, end, aResult);
+  LogAttempt(state_, id_, attempt, end, aResult);
   if (end == AttemptEnd::kNotSent) {
     --sent_;
   }
@@ -345,12 +280,24 @@
     FinishOwn(OwnAnswerKind::kRefused);
     return;
   }
+  LookAgain(&Exchange::SeekOrWait);
+}
+
+void Exchange::SeekOrWait()
+{
+  if (!Seek()) {
+    WaitForRoom();
+  }
+}
+
+void Exchange::LookAgain(void (Exchange::*aStep)())
+{
   stepTimer_.expires_after(kLookAgain);
   stepTimer_.async_wait(
-    [self = weak_from_this()](const asio::error_code& aError) {
+    [self = weak_from_this(), aStep](const asio::error_code& aError) {
       const auto exchange = self.lock();
-      if (!aError && exchange && !exchange->done_ && !exchange->Seek()) {
-        exchange->WaitForRoom();
+      if (!aError && exchange && !exchange->done_) {
+        (exchange.get()->*aStep)();
       }
     });
 }
@@ -368,30 +315,15 @@
 
 void Exchange::FinishOwn(OwnAnswerKind aKind)
 {
-  GatewayCounters& counters = state_.Counters();
+  const OwnAnswerCount& count = CountOf(aKind);
+  ++(state_.Counters().*count.counter);
   std::optional<Duration> retryAfter;
-  const char* outcome = "unknown";
-  switch (aKind) {
-    case OwnAnswerKind::kRefused:
-      ++counters.refused;
-      retryAfter = route_ == nullptr ? kRetryAfter
-                                     : route_->latencyObjective / kRetryDivisor;
-      outcome = "refused";
-      break;
-    case OwnAnswerKind::kTimedOut:
-      ++counters.timedOut;
-      outcome = "timed-out";
-      break;
-    case OwnAnswerKind::kNoRoute:
-      ++counters.noRoute;
-      outcome = "no-route";
-      break;
-    default:
-      ++counters.lost;
-      break;
+  if (aKind == OwnAnswerKind::kRefused) {
+    retryAfter = route_ == nullptr ? kRetryAfter
+                                   : route_->latencyObjective / kRetryDivisor;
   }
   Finish(MakeOwnAnswer(aKind, state_.Names().requestId, id_, retryAfter),
-         outcome);
+         count.outcome);
 }
 
 void Exchange::Finish(HttpMessage aAnswer, const char* aOutcome)
@@ -404,7 +336,7 @@
     ++state_.Counters().succeeded;
   }
   state_.Counters().latency.Add(state_.Now() - startedAt_);
-  LogEnd(aAnswer.head.status, aOutcome);
+  LogEnd(Trace(), aAnswer.head.status, aOutcome);
   deadlineTimer_.cancel();
   stepTimer_.cancel();
   CancelAttempts();
@@ -425,12 +357,24 @@
     return;
   }
   done_ = true;
-  LogEnd(0, "caller-gone");
+  LogEnd(Trace(), 0, "caller-gone");
   deadlineTimer_.cancel();
   stepTimer_.cancel();
   CancelAttempts();
 }
 
+RequestTrace Exchange::Trace() const
+{
+  RequestTrace trace;
+  trace.request = id_;
+  trace.route = route_ ? route_->name : RouteName();
+  trace.config = routes_ ? routes_->Version() : ConfigVersion();
+  trace.service = service_;
+  trace.tries = tries_;
+  trace.duration = state_.Now() - startedAt_;
+  return trace;
+}
+
 void Exchange::CancelAttempts()
 {
   for (Attempt& attempt : attempts_) {
@@ -441,40 +385,4 @@
   const std::vector<Attempt> cancelled = std::exchange(attempts_, {});
 }
 
-void Exchange::LogAttempt(const Attempt& aAttempt,
-                          AttemptEnd aEnd,
-                          const ExchangeResult& aResult) const
-{
-  const std::string* load =
-    aResult.answer.head.fields.Find(state_.Names().load);
-  Log(LogLevel::kInfo,
-      "attempt",
-      { { "request", id_ },
-        { "target", aAttempt.target.id.value() },
-        { "end", ToString(aEnd) },
-        { "status", std::to_string(aResult.answer.head.status) },
-        { "detail", aResult.detail },
-        { "ms", Milliseconds(state_.Now() - aAttempt.sentAt) },
-        { "busy", std::to_string(aAttempt.choice.busy) },
-        { "slowdown", std::to_string(aAttempt.choice.slowdownPercent) },
-        { "reading_age_ms", Milliseconds(aAttempt.choice.readingAge) },
-        { "expected_ms", Milliseconds(aAttempt.choice.expected) },
-        { "cold", aAttempt.choice.cold ? "1" : "0" },
-        { "load", load == nullptr ? "" : *load } });
-}
-
-void Exchange::LogEnd(unsigned aStatus, const char* aOutcome) const
-{
-  Log(LogLevel::kInfo,
-      "request",
-      { { "request", id_ },
-        { "route", route_ ? route_->name.value() : "" },
-        { "config", routes_ ? std::to_string(routes_->Version().value()) : "" },
-        { "service", service_.value() },
-        { "status", std::to_string(aStatus) },
-        { "outcome", aOutcome },
-        { "tries", std::to_string(tries_) },
-        { "ms", Milliseconds(state_.Now() - startedAt_) } });
-}
-
 } // namespace lacewing
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -4,6 +4,7 @@
 #include "balance/AttemptEnd.h"
 #include "gateway/Attempt.h"
 #include "gateway/OwnAnswer.h"
+#include "gateway/RequestTrace.h"
 #include "gateway/TargetScout.h"
 #include "gateway/TrafficState.h"
 #include "http/HttpMessage.h"
@@ -40,7 +41,6 @@
 
 private:
   std::string FieldOf(const std::string& aName) const;
-  void ReadDeadline();
   void ArmDeadline();
   void ArmHedge(Duration aAfter, bool aLast);
   void OnHedge(bool aLast);
@@ -54,20 +54,16 @@
   HttpHead RequestHead(const TargetSpec& aTarget) const;
 
   void OnEnded(AttemptId aAttempt, ExchangeResult aResult);
-  void Learn(const Attempt& aAttempt,
-             AttemptEnd aEnd,
-             const ExchangeResult& aResult);
   bool TryRepeat(AttemptEnd aEnd);
   void WaitForRoom();
+  void SeekOrWait();
+  void LookAgain(void (Exchange::*aStep)());
   /** Ends the request when nothing more can come of it. */
   void Conclude();
   void FinishOwn(OwnAnswerKind aKind);
   void Finish(HttpMessage aAnswer, const char* aOutcome);
   void CancelAttempts();
-  void LogAttempt(const Attempt& aAttempt,
-                  AttemptEnd aEnd,
-                  const ExchangeResult& aResult) const;
-  void LogEnd(unsigned aStatus, const char* aOutcome) const;
+  RequestTrace Trace() const;
 
   TrafficState& state_;
   HttpHead head_;
--- /dev/null
+++ b/src/gateway/RequestTrace.cpp
@@ -0,0 +1,46 @@
+#include "gateway/RequestTrace.h"
+
+#include "core/Log.h"
+#include "gateway/RequestDeadline.h"
+
+namespace lacewing {
+
+void LogAttempt(const TrafficState& aState,
+                const std::string& aRequest,
+                const Attempt& aAttempt,
+                AttemptEnd aEnd,
+                const ExchangeResult& aResult)
+{
+  const std::string* load =
+    aResult.answer.head.fields.Find(aState.Names().load);
+  Log(LogLevel::kInfo,
+      "attempt",
+      { { "request", aRequest },
+        { "target", aAttempt.target.id.value() },
+        { "end", ToString(aEnd) },
+        { "status", std::to_string(aResult.answer.head.status) },
+        { "detail", aResult.detail },
+        { "ms", MillisecondsText(aState.Now() - aAttempt.sentAt) },
+        { "busy", std::to_string(aAttempt.choice.busy) },
+        { "slowdown", std::to_string(aAttempt.choice.slowdownPercent) },
+        { "reading_age_ms", MillisecondsText(aAttempt.choice.readingAge) },
+        { "expected_ms", MillisecondsText(aAttempt.choice.expected) },
+        { "cold", aAttempt.choice.cold ? "1" : "0" },
+        { "load", load == nullptr ? "" : *load } });
+}
+
+void LogEnd(const RequestTrace& aTrace, unsigned aStatus, const char* aOutcome)
+{
+  Log(LogLevel::kInfo,
+      "request",
+      { { "request", aTrace.request },
+        { "route", aTrace.route.value() },
+        { "config", std::to_string(aTrace.config.value()) },
+        { "service", aTrace.service.value() },
+        { "status", std::to_string(aStatus) },
+        { "outcome", aOutcome },
+        { "tries", std::to_string(aTrace.tries) },
+        { "ms", MillisecondsText(aTrace.duration) } });
+}
+
+} // namespace lacewing
--- a/src/gateway/TargetScout.cpp
+++ b/src/gateway/TargetScout.cpp
@@ -47,8 +47,10 @@
   ChoiceContext context;
   Handler handler;
   asio::steady_timer timer;
+  /** Keeps the targets of ranked. */
+  std::shared_ptr<const FleetSnapshot> fleet;
   /** Candidates that were not asked, the best first. */
-  std::vector<FleetTarget> ranked;
+  std::vector<const FleetTarget*> ranked;
   unsigned rounds = 0;
   unsigned maxRounds = kMaxRounds;
   std::string healthPath;
@@ -69,7 +71,7 @@
 
   bool Prepare(const std::set<TargetId>& aExcept)
   {
-    const auto fleet = state.Fleet();
+    fleet = state.Fleet();
     const auto load = state.Load();
     const auto targets = fleet->targets.find(service);
     const ServiceSpec* spec =
@@ -89,7 +91,7 @@
       }
     }
     for (const Choice& choice : state.Chooser().Rank(context, candidates)) {
-      ranked.push_back(*candidates[choice.index].target);
+      ranked.push_back(candidates[choice.index].target);
     }
     return !ranked.empty();
   }
@@ -123,11 +125,14 @@
   void AskNext(std::size_t aCount, bool (*aFits)(const FleetTarget&))
   {
     for (std::size_t i = 0; i < aCount; ++i) {
-      const auto best = std::find_if(ranked.begin(), ranked.end(), aFits);
+      const auto best = std::find_if(
+        ranked.begin(), ranked.end(), [aFits](const FleetTarget* aTarget) {
+          return aFits(*aTarget);
+        });
       if (best == ranked.end()) {
         return;
       }
-      const FleetTarget target = *best;
+      const FleetTarget& target = **best;
       ranked.erase(best);
       Ask(target);
     }
--- a/tests/BalanceTest.cpp
+++ b/tests/BalanceTest.cpp
@@ -1,5 +1,6 @@
 #include "balance/ColdQuota.h"
 #include "balance/Eligibility.h"
+#include "balance/HedgeRule.h"
 #include "balance/RepeatRule.h"
 #include "balance/RepeatWindow.h"
 #include "balance/SplitCursor.h"
@@ -261,3 +262,14 @@
   REQUIRE(ranked.size() == 2);
   CHECK(ranked.front().index == 1);
 }
+
+// Guards against second attempts before the first one is late, which double
+// the load, and against a target at its usual speed that counts as stuck.
+TEST_CASE("balance: a second attempt waits beyond the usual work")
+{
+  const Duration work = std::chrono::milliseconds(200);
+  CHECK(HedgeAfter(work) > work);
+  CHECK(LastHedgeAfter(work) > HedgeAfter(work));
+  CHECK_FALSE(LooksSlowed(100));
+  CHECK(LooksSlowed(400));
+}
