Serve sooner after a power cut: read the store at once, let requests wait

Tests: 'a read for the start is cheap', 'a failed read for the start', 'a request waits for a starting host's configuration' (503 before, 200 after).

--- a/src/fleet/CatalogSource.h
+++ b/src/fleet/CatalogSource.h
@@ -40,6 +40,13 @@
    */
   virtual void Follow(WatchRole aRole, const std::vector<Revision>& aKnown) = 0;
 
+  /**
+   * Reads everything once at the lowest price; what it brings may be some
+   * seconds old. A failure is logged and not repeated. Does nothing while
+   * following.
+   */
+  virtual void ReadOnce() = 0;
+
   /** Peers are at these revisions; a watch that stays behind has failed. */
   virtual void NoteRevisions(const std::vector<Revision>& aRevisions) = 0;
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -21,6 +21,9 @@
 // Part of the latency objective for which a request without a target waits
 // for one; beyond an eighth it counts as held up.
 constexpr int kWaitDivisor = 8;
+// How long a request waits for the first configuration; a starting host has it
+// within a tenth of a second unless the store is out of reach.
+constexpr Duration kStartPatience = std::chrono::milliseconds(150);
 // How often a waiting request looks again; load shifts within milliseconds.
 constexpr Duration kLookAgain = std::chrono::milliseconds(25);
 // Callers come back after this part of the route's objective, in which several
@@ -53,8 +56,19 @@
 void Exchange::Start()
 {
   ++state_.Counters().requests;
+  Begin();
+}
+
+/** Waits for the first configuration, which a starting host has soon. */
+void Exchange::Begin()
+{
   const auto fleet = state_.Fleet();
   routes_ = fleet->routes;
+  if (!routes_ && !state_.Refusing() &&
+      state_.Now() < startedAt_ + kStartPatience) {
+    LookAgain(&Exchange::Begin);
+    return;
+  }
   if (!routes_ || state_.Refusing()) {
     FinishOwn(OwnAnswerKind::kRefused);
     return;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -41,6 +41,7 @@
 
 private:
   std::string FieldOf(const std::string& aName) const;
+  void Begin();
   void ArmDeadline();
   void ArmHedge(Duration aAfter, bool aLast);
   void OnHedge(bool aLast);
--- a/tests/GatewayInputTest.cpp
+++ b/tests/GatewayInputTest.cpp
@@ -1,3 +1,4 @@
+#include "gateway/RequestDeadline.h"
 #include "support/TestGateway.h"
 
 using namespace lacewing;
@@ -146,3 +147,45 @@
   CHECK(answer.find("Retry-After") != std::string::npos);
   CHECK(target.Runs() == 0);
 }
+
+// Guards against a caller's patience so long that it overflows to a time in
+// the past, at which every request would be refused.
+TEST_CASE("gateway: any stated patience gives a deadline within the timeout")
+{
+  using std::chrono::milliseconds;
+  const TimePoint start = TimePoint() + std::chrono::hours(10);
+  const Duration timeout = milliseconds(1500);
+  const auto left = [&](const char* aText) {
+    return DeadlineOf(aText, start, timeout) - start;
+  };
+  CHECK(left("200") == milliseconds(200));
+  CHECK(left("0") == milliseconds(0));
+  for (const char* text : { "", "soon", "-5", "2500", "9223372036854775807" }) {
+    CAPTURE(text);
+    CHECK(left(text) == timeout);
+  }
+}
+
+// Guards against refusals in the moment between a host's start and its first
+// configuration, which after a power cut meet all callers at once.
+TEST_CASE("gateway: a request waits for a starting host's configuration")
+{
+  GatewayTarget target(&Ok);
+  TestGateway gateway;
+  std::future<std::string> answer = std::async(std::launch::async, [&] {
+    return gateway.Call("POST", "/once/x", "early", "body");
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  gateway.Configure({ &target });
+  CHECK(StatusOf(answer.get()) == 200);
+}
+
+// Guards against callers that wait on and on for a host without the store.
+TEST_CASE("gateway: without a configuration a request is refused soon")
+{
+  TestGateway gateway;
+  const auto begin = std::chrono::steady_clock::now();
+  CHECK(StatusOf(gateway.Call("POST", "/once/x", "never", "body")) == 503);
+  CHECK(std::chrono::steady_clock::now() - begin <
+        std::chrono::milliseconds(600));
+}
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -74,6 +74,38 @@
   }));
 }
 
+// Guards against a starting host that waits for its peers to watch the store
+// while callers are refused, and against full prices for that first read.
+TEST_CASE("platform store: a read for the start is cheap and ends by itself")
+{
+  Fixture fix;
+  fix.store.Put("servers", "a", { { "slots", 1 } });
+  fix.client.ReadOnce();
+  CHECK(fix.RunUntilHolds("a", true));
+  fix.RunFor(std::chrono::milliseconds(100));
+  CHECK(fix.store.Calls() == 3);
+  CHECK(fix.store.CheapCalls() == 3);
+  fix.store.Put("servers", "b", { { "slots", 1 } });
+  fix.RunFor(std::chrono::milliseconds(100));
+  CHECK_FALSE(fix.Holds("b"));
+  fix.Follow();
+  CHECK(fix.RunUntilHolds("b", true));
+}
+
+// Guards against a first read that is tried again while peers may help.
+TEST_CASE("platform store: a failed read for the start is left at that")
+{
+  Fixture fix;
+  fix.store.SetFault(StoreFault::kBusy);
+  fix.client.ReadOnce();
+  fix.RunFor(std::chrono::milliseconds(1200));
+  CHECK(fix.store.Calls() == 3);
+  fix.store.SetFault(StoreFault::kNone);
+  fix.store.Put("servers", "a", { { "slots", 1 } });
+  fix.Follow();
+  CHECK(fix.RunUntilHolds("a", true));
+}
+
 // Guards against one call for each of many changes that come together.
 TEST_CASE("platform store: changes that come together cost few calls")
 {
--- a/tests/support/TestGateway.h
+++ b/tests/support/TestGateway.h
@@ -22,8 +22,14 @@
   explicit TestGateway(const std::vector<const GatewayTarget*>& aTargets,
                        Duration aTimeout = std::chrono::seconds(2),
                        unsigned aColdQuota = 0)
+    : TestGateway()
+  {
+    Configure(aTargets, aTimeout, aColdQuota);
+  }
+
+  /** A gateway of a host that has no configuration yet. */
+  TestGateway()
   {
-    Publish(aTargets, aTimeout, aColdQuota);
     GatewayOptions options;
     options.front = { "127.0.0.1", 0 };
     options.names = Names();
@@ -31,6 +37,38 @@
     gateway_ = Gateway::Make(clock_, options, fleet_, load_).value();
   }
 
+  void Configure(const std::vector<const GatewayTarget*>& aTargets,
+                 Duration aTimeout = std::chrono::seconds(2),
+                 unsigned aColdQuota = 0)
+  {
+    CallerLimits limits;
+    limits.maxHead = ByteCount(4096);
+    limits.maxBody = ByteCount(1U << 20U);
+    ServiceSpec service;
+    service.id = ServiceId("s");
+    service.healthPath = "/health";
+    auto snapshot = std::make_shared<FleetSnapshot>();
+    snapshot->routes =
+      RouteTable::Make(ConfigVersion(1),
+                       { Route("safe", RequestClass::kIdempotent, aTimeout),
+                         Route("once", RequestClass::kNonIdempotent, aTimeout),
+                         Route("upload", RequestClass::kUpload, aTimeout) },
+                       { service },
+                       limits)
+        .value();
+    for (std::size_t i = 0; i < aTargets.size(); ++i) {
+      FleetTarget target;
+      target.spec.id = TargetId("t" + std::to_string(i));
+      target.spec.service = service.id;
+      target.spec.endpoint = aTargets[i]->Address();
+      target.spec.slots = SlotCount(6);
+      target.local = true;
+      target.coldQuota = aColdQuota;
+      snapshot->targets[service.id].push_back(target);
+    }
+    fleet_.Publish(std::move(snapshot));
+  }
+
   std::uint16_t Port() const { return gateway_->Port(); }
   Gateway& Get() { return *gateway_; }
 
@@ -104,38 +142,6 @@
     return route;
   }
 
-  void Publish(const std::vector<const GatewayTarget*>& aTargets,
-               Duration aTimeout,
-               unsigned aColdQuota)
-  {
-    CallerLimits limits;
-    limits.maxHead = ByteCount(4096);
-    limits.maxBody = ByteCount(1U << 20U);
-    ServiceSpec service;
-    service.id = ServiceId("s");
-    service.healthPath = "/health";
-    auto snapshot = std::make_shared<FleetSnapshot>();
-    snapshot->routes =
-      RouteTable::Make(ConfigVersion(1),
-                       { Route("safe", RequestClass::kIdempotent, aTimeout),
-                         Route("once", RequestClass::kNonIdempotent, aTimeout),
-                         Route("upload", RequestClass::kUpload, aTimeout) },
-                       { service },
-                       limits)
-        .value();
-    for (std::size_t i = 0; i < aTargets.size(); ++i) {
-      FleetTarget target;
-      target.spec.id = TargetId("t" + std::to_string(i));
-      target.spec.service = service.id;
-      target.spec.endpoint = aTargets[i]->Address();
-      target.spec.slots = SlotCount(6);
-      target.local = true;
-      target.coldQuota = aColdQuota;
-      snapshot->targets[service.id].push_back(target);
-    }
-    fleet_.Publish(std::move(snapshot));
-  }
-
   MonotonicClock clock_;
   SnapshotCell<FleetSnapshot> fleet_{ std::make_shared<const FleetSnapshot>() };
   SnapshotCell<LoadSnapshot> load_{ std::make_shared<const LoadSnapshot>() };
