--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -399,4 +399,5 @@
   const std::vector<Attempt> cancelled = std::exchange(attempts_, {});
 }
 
+    LogCancelled(state_, id_, attempt);
 } // namespace lacewing
--- a/src/gateway/RequestTrace.cpp
+++ b/src/gateway/RequestTrace.cpp
@@ -5,11 +5,13 @@
 
 namespace lacewing {
 
-void LogAttempt(const TrafficState& aState,
-                const std::string& aRequest,
-                const Attempt& aAttempt,
-                AttemptEnd aEnd,
-                const ExchangeResult& aResult)
+namespace {
+
+void WriteAttempt(const TrafficState& aState,
+                  const std::string& aRequest,
+                  const Attempt& aAttempt,
+                  const char* aEnd,
+                  const ExchangeResult& aResult)
 {
   const std::string* load =
     aResult.answer.head.fields.Find(aState.Names().load);
@@ -17,7 +19,7 @@
       "attempt",
       { { "request", aRequest },
         { "target", aAttempt.target.id.value() },
-        { "end", ToString(aEnd) },
+        { "end", aEnd },
         { "status", std::to_string(aResult.answer.head.status) },
         { "detail", aResult.detail },
         { "ms", MillisecondsText(aState.Now() - aAttempt.sentAt) },
@@ -29,6 +31,24 @@
         { "load", load == nullptr ? "" : *load } });
 }
 
+} // namespace
+
+void LogAttempt(const TrafficState& aState,
+                const std::string& aRequest,
+                const Attempt& aAttempt,
+                AttemptEnd aEnd,
+                const ExchangeResult& aResult)
+{
+  WriteAttempt(aState, aRequest, aAttempt, ToString(aEnd), aResult);
+}
+
+void LogCancelled(const TrafficState& aState,
+                  const std::string& aRequest,
+                  const Attempt& aAttempt)
+{
+  WriteAttempt(aState, aRequest, aAttempt, "cancelled", ExchangeResult());
+}
+
 void LogEnd(const RequestTrace& aTrace, unsigned aStatus, const char* aOutcome)
 {
   Log(LogLevel::kInfo,
--- a/src/gateway/RequestTrace.h
+++ b/src/gateway/RequestTrace.h
@@ -25,13 +25,18 @@
   Duration duration{};
 };
 
-/** Logs one sending with what decided on its target. */
+/** Logs one sending that ended, with what decided on its target. */
 void LogAttempt(const TrafficState& aState,
                 const std::string& aRequest,
                 const Attempt& aAttempt,
                 AttemptEnd aEnd,
                 const ExchangeResult& aResult);
 
+/** Logs one sending that this host gives up without an answer. */
+void LogCancelled(const TrafficState& aState,
+                  const std::string& aRequest,
+                  const Attempt& aAttempt);
+
 /** Logs a request's end; aStatus is 0 when no answer was sent. */
 void LogEnd(const RequestTrace& aTrace, unsigned aStatus, const char* aOutcome);
 
