Serve on while stopping, as long as requests end within the grace time

Change: a stopping host refuses only requests whose deadline lies beyond the grace time, and leaves when none has come for a second, at the latest one second before the end. The listener stays open; RefuseNew is gone. Ruled out: leaving earlier; the time until the next start does not change. Tests: 'a stopping host serves what it can end in the grace time' and 'the logs name the target...' failed on the hostd before (27 and 1 checks) and pass; 'a host about to end refuses what still arrives' now uses a drain that ends at once, as strict as before.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -56,6 +56,7 @@
 void Exchange::Start()
 {
   ++state_.Counters().requests;
+  state_.NoteRequest(startedAt_);
   Begin();
 }
 
@@ -64,12 +65,12 @@
 {
   const auto fleet = state_.Fleet();
   routes_ = fleet->routes;
-  if (!routes_ && !state_.Refusing() &&
+  if (!routes_ && !state_.Draining() &&
       state_.Now() < startedAt_ + kStartPatience) {
     LookAgain(&Exchange::Begin);
     return;
   }
-  if (!routes_ || state_.Refusing()) {
+  if (!routes_) {
     FinishOwn(OwnAnswerKind::kRefused);
     return;
   }
@@ -80,6 +81,11 @@
   }
   deadline_ =
     DeadlineOf(FieldOf(state_.Names().deadline), startedAt_, route_->timeout);
+  // A request that the process's end could cut off has to go elsewhere.
+  if (state_.EndsBefore(deadline_)) {
+    FinishOwn(OwnAnswerKind::kRefused);
+    return;
+  }
   service_ = state_.SplitOf(route_->name).Next(route_->shares);
   state_.RepeatsOf(service_).CountRequest(startedAt_);
   ArmDeadline();
@@ -393,11 +399,11 @@
 {
   for (Attempt& attempt : attempts_) {
     state_.ViewOf(attempt.target.id).OnEnded();
+    LogCancelled(state_, id_, attempt);
   }
   // Destroying a connection may free this exchange's last handler; the
   // attempts are moved out first so that none is seen half destroyed.
   const std::vector<Attempt> cancelled = std::exchange(attempts_, {});
 }
 
-    LogCancelled(state_, id_, attempt);
 } // namespace lacewing
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -116,13 +116,14 @@
     });
   }
 
-  std::size_t CountBusy() const
+  GatewayActivity Activity() const
   {
-    std::size_t busy = 0;
+    GatewayActivity activity;
+    activity.lastRequest = state.LastRequest();
     for (const auto& session : sessions) {
-      busy += session->Busy() ? 1 : 0;
+      activity.busy += session->Busy() ? 1 : 0;
     }
-    return busy;
+    return activity;
   }
 
   void CloseIdle()
@@ -169,19 +170,9 @@
   return impl_->acceptor.local_endpoint().port();
 }
 
-void Gateway::BeginDrain()
+void Gateway::BeginDrain(TimePoint aEnd)
 {
-  asio::post(impl_->context, [this] { impl_->state.BeginDrain(); });
-}
-
-void Gateway::RefuseNew()
-{
-  asio::post(impl_->context, [this] {
-    asio::error_code ignored;
-    impl_->acceptor.close(ignored);
-    impl_->state.RefuseNew();
-    impl_->CloseIdle();
-  });
+  asio::post(impl_->context, [this, aEnd] { impl_->state.BeginDrain(aEnd); });
 }
 
 void Gateway::CloseIdle()
@@ -189,10 +180,10 @@
   asio::post(impl_->context, [this] { impl_->CloseIdle(); });
 }
 
-void Gateway::CountBusy(std::function<void(std::size_t)> aHandler)
+void Gateway::ReadActivity(std::function<void(GatewayActivity)> aHandler)
 {
   asio::post(impl_->context, [this, handler = std::move(aHandler)] {
-    handler(impl_->CountBusy());
+    handler(impl_->Activity());
   });
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "balance/FleetSnapshot.h"
 #include "balance/LoadSnapshot.h"
 #include "core/SnapshotCell.h"
+#include "gateway/GatewayActivity.h"
 #include "gateway/GatewayCounters.h"
 #include "gateway/GatewayOptions.h"
 #include "lacewing/Clock.h"
@@ -35,17 +36,17 @@
   /** The port listened on. */
   std::uint16_t Port() const;
 
-  /** Answers close their connections from now on. */
-  void BeginDrain();
-
-  /** Takes no connections and refuses requests that arrive from now on. */
-  void RefuseNew();
+  /**
+   * Answers close their connections from now on, and requests that could last
+   * beyond aEnd are refused.
+   */
+  void BeginDrain(TimePoint aEnd);
 
   /** Closes connections without a request. */
   void CloseIdle();
 
-  /** Counts requests in progress; runs aHandler on the traffic thread. */
-  void CountBusy(std::function<void(std::size_t)> aHandler);
+  /** Reads the activity; runs aHandler on the traffic thread. */
+  void ReadActivity(std::function<void(GatewayActivity)> aHandler);
 
   /** Copies the counters; runs aHandler on the traffic thread. */
   void ReadCounters(std::function<void(GatewayCounters)> aHandler);
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace lacewing {
 
@@ -54,12 +55,17 @@
   }
 
   /** The process is leaving: answers close their connections. */
-  bool Draining() const { return draining_; }
-  void BeginDrain() { draining_ = true; }
+  bool Draining() const { return drainEnd_.has_value(); }
+  void BeginDrain(TimePoint aEnd) { drainEnd_ = aEnd; }
 
-  /** The process is about to end: new requests are refused. */
-  bool Refusing() const { return refusing_; }
-  void RefuseNew() { refusing_ = true; }
+  /** Whether the process may end before a request with that deadline. */
+  bool EndsBefore(TimePoint aDeadline) const
+  {
+    return drainEnd_ && *drainEnd_ < aDeadline;
+  }
+
+  TimePoint LastRequest() const { return lastRequest_; }
+  void NoteRequest(TimePoint aAt) { lastRequest_ = aAt; }
 
   /** Drops what belongs to targets that are gone; closes idle connections. */
   void CleanUp();
@@ -78,8 +84,8 @@
   std::map<ServiceId, Pressure> pressure_;
   std::map<RouteName, SplitCursor> splits_;
   std::map<RouteName, RouteLearning> learning_;
-  bool draining_ = false;
-  bool refusing_ = false;
+  std::optional<TimePoint> drainEnd_;
+  TimePoint lastRequest_;
 };
 
 } // namespace lacewing
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -20,9 +20,11 @@
 // The balancer asks once a second and takes a host out after two misses; new
 // connections come until then.
 constexpr Duration kBalancerNotices = std::chrono::milliseconds(2600);
-// Requests that arrive later find a host that will not live to answer them:
-// the longest ones take some seconds of the grace time.
-constexpr Duration kRefuseAfter = std::chrono::milliseconds(3000);
+// Where most hosts of a zone are out of rotation the balancer uses all of them,
+// so that a host ends only once no request has come for this long.
+constexpr Duration kQuiet = std::chrono::milliseconds(1000);
+// Few requests can still be taken in this last part of the grace time.
+constexpr Duration kLastUseful = std::chrono::milliseconds(1000);
 // Log lines wait at most this long.
 constexpr Duration kLogPeriod = std::chrono::milliseconds(200);
 // How often a stopping host looks whether all requests have ended.
@@ -164,7 +166,7 @@
     Log(LogLevel::kInfo, "stopping");
     stopAt = clock.Now();
     control->BeginLeave();
-    gateway->BeginDrain();
+    gateway->BeginDrain(stopAt + options.grace - kStopMargin);
     ScheduleStopCheck();
   }
 
@@ -190,20 +192,20 @@
       if (!std::exchange(idleClosed, true)) {
         gateway->CloseIdle();
       }
-      if (passed >= kRefuseAfter) {
-        gateway->RefuseNew();
-      }
-      gateway->CountBusy([this](std::size_t aBusy) {
-        asio::post(context, [this, aBusy] { OnBusy(aBusy); });
+      gateway->ReadActivity([this](const GatewayActivity& aActivity) {
+        asio::post(context, [this, aActivity] { OnActivity(aActivity); });
       });
     }
     ScheduleStopCheck();
   }
 
-  void OnBusy(std::size_t aBusy)
+  void OnActivity(const GatewayActivity& aActivity)
   {
-    if (aBusy == 0 &&
-        clock.Now() - stopAt >= kBalancerNotices + 2 * kStopCheck) {
+    const TimePoint now = clock.Now();
+    const bool unused = now - aActivity.lastRequest >= kQuiet ||
+                        now - stopAt >= options.grace - kLastUseful;
+    if (aActivity.busy == 0 && unused &&
+        now - stopAt >= kBalancerNotices + 2 * kStopCheck) {
       Log(LogLevel::kInfo, "stopped", { { "by", "the last request's end" } });
       context.stop();
     }
--- a/tests/GatewayInputTest.cpp
+++ b/tests/GatewayInputTest.cpp
@@ -121,7 +121,7 @@
   busy.Send(TestGateway::Request("GET", "/safe/a", "before"));
   CHECK(busy.ReadUntil("ok before").find("keep-alive") != std::string::npos);
   RawCaller idle(gateway.Port());
-  gateway.Get().BeginDrain();
+  gateway.Get().BeginDrain(MonotonicClock().Now() + std::chrono::hours(1));
   busy.Send(TestGateway::Request("GET", "/safe/a", "after"));
   CHECK(busy.ReadToEnd().find("Connection: close") != std::string::npos);
   gateway.Get().CloseIdle();
@@ -138,8 +138,7 @@
   RawCaller caller(gateway.Port());
   caller.Send("GET /safe/x HTTP/1.1\r\n");
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
-  gateway.Get().BeginDrain();
-  gateway.Get().RefuseNew();
+  gateway.Get().BeginDrain(MonotonicClock().Now());
   std::this_thread::sleep_for(std::chrono::milliseconds(50));
   caller.Send("Host: test\r\nTest-Id: r1\r\n\r\n");
   const std::string answer = caller.ReadToEnd();
@@ -189,3 +188,22 @@
   CHECK(std::chrono::steady_clock::now() - begin <
         std::chrono::milliseconds(600));
 }
+
+// Guards against requests that a planned stop cuts off, and against refusals of
+// those that it leaves time for.
+TEST_CASE("gateway: a draining host takes what it can end in time")
+{
+  GatewayTarget target(&Ok);
+  TestGateway gateway({ &target });
+  gateway.Get().BeginDrain(MonotonicClock().Now() + std::chrono::seconds(1));
+  const auto status = [&](const char* aPatience) {
+    return StatusOf(SendRaw(
+      gateway,
+      std::string("POST /once/x HTTP/1.1\r\nHost: test\r\nTest-Id: d\r\n"
+                  "Content-Length: 0\r\nTest-Deadline: ") +
+        aPatience + "\r\n\r\n"));
+  };
+  CHECK(status("300") == 200);
+  CHECK(status("1500") == 503);
+  CHECK(target.Runs() == 1);
+}
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -64,6 +64,10 @@
            "Lacewinghoist-Instance-Id: i-1\r\n"
            "Lacewinghoist-Server-Load: 0,0,6,100\r\n\r\n";
   }
+  if (aHead.find(" /a/hang ") != std::string::npos) {
+    // Keeps the connection open and never answers.
+    return ScriptedTarget::kThenLate;
+  }
   std::this_thread::sleep_for(aWork);
   const std::string key = "Lacewinghoist-Request-Id: ";
   const std::size_t at = aHead.find(key);
@@ -139,11 +143,12 @@
              : 0;
   }
 
-  int Post(const std::string& aTarget)
+  int Post(const std::string& aTarget,
+           std::chrono::milliseconds aPatience = 5000ms)
   {
     HttpFields fields;
     fields.Add("Lacewinghoist-Request-Id", "r" + std::to_string(++requests));
-    fields.Add("Lacewinghoist-Deadline-Ms", "5000");
+    fields.Add("Lacewinghoist-Deadline-Ms", std::to_string(aPatience.count()));
     const HttpCallResult result =
       Send("POST", ports.At(0), aTarget, "body", fields);
     return result.end == HttpCallEnd::kAnswered
@@ -214,3 +219,39 @@
   }
   CHECK(fix.Ready() == 200);
 }
+
+// Guards against a stopping host that takes no more connections while the
+// balancer, for want of others in the zone, still sends it some, and against
+// one that takes requests which it will not live to answer.
+TEST_CASE("hostd: a stopping host serves what it can end in the grace time")
+{
+  HostdFixture fix(10ms);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  const auto stopped = std::chrono::steady_clock::now();
+  hostd.Signal(SIGTERM);
+  std::this_thread::sleep_for(50ms);
+  while (std::chrono::steady_clock::now() - stopped < 4s) {
+    CHECK(fix.Post("/a/x", 1000ms) == 200);
+    std::this_thread::sleep_for(50ms);
+  }
+  CHECK(fix.Post("/a/x", 2500ms) == 503);
+  CHECK(hostd.Wait(2s) == 0);
+}
+
+// Guards against a failed request whose target the logs do not name: a sending
+// that was given up at the route's timeout left no line.
+TEST_CASE("hostd: the logs name the target of a request that timed out")
+{
+  HostdFixture fix(10ms);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  CHECK(fix.Post("/a/hang") == 504);
+  CHECK(hostd.Stop() == 0);
+  const std::string output = hostd.Output();
+  const std::size_t line = output.find("event=attempt request=r1 target=i-1");
+  REQUIRE(line != std::string::npos);
+  CHECK(
+    output.substr(line, output.find('\n', line) - line).find("end=cancelled") !=
+    std::string::npos);
+}
