--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -31,9 +31,6 @@
 // One that heard of no configuration by then, in the time of a few answers of a
 // seed, reads the store once: after a power cut callers are waiting.
 constexpr Duration kReadPatience = std::chrono::milliseconds(40);
-// Hosts that start together meet as soon as a seed listens.
-constexpr Duration kGreetPeriod = std::chrono::milliseconds(20);
-constexpr Duration kGreetTime = std::chrono::milliseconds(500);
 // A host that could not reach the store is not chosen to watch it again until
 // then, unless none could.
 constexpr Duration kStoreDistrust = std::chrono::seconds(8);
@@ -46,7 +43,7 @@
   const HostIdentity identity;
   CatalogSource& source;
   asio::steady_timer tick;
-  asio::steady_timer greeting;
+  asio::steady_timer firstRead;
   CatalogReplica replica;
   CatalogView view;
   CatalogPuller puller;
@@ -62,8 +59,6 @@
   bool storeOk = true;
   bool leaving = false;
   bool searched = false;
-  /** The store was read, or there was no need to. */
-  bool read = false;
 
   Impl(asio::io_context& aContext,
        const Clock& aClock,
@@ -77,7 +72,7 @@
     , identity(aIdentity)
     , source(aSource)
     , tick(aContext)
-    , greeting(aContext)
+    , firstRead(aContext)
     , view(aDecoder)
     , puller(aContext,
              aClock,
@@ -113,7 +108,7 @@
     source.SetEvents(std::move(events));
     peers->Tick({});
     ScheduleTick();
-    ScheduleGreeting();
+    ScheduleFirstRead();
     return outcome::success();
   }
 
@@ -277,33 +272,18 @@
     Elect();
   }
 
-  /** Reads the store when no peer has brought a configuration. */
-  void ReadWhenAlone()
+  /** Reads the store when no peer has brought a configuration by then. */
+  void ScheduleFirstRead()
   {
-    if (!read && clock.Now() >= startedAt + kReadPatience) {
-      read = true;
-      if (replica.RevisionOf(CatalogKind::kConfiguration) == Revision()) {
-        source.ReadOnce();
+    firstRead.expires_after(kReadPatience);
+    firstRead.async_wait([self =
+                            weak_from_this()](const asio::error_code& aError) {
+      const auto impl = self.lock();
+      if (!aError && impl &&
+          impl->replica.RevisionOf(CatalogKind::kConfiguration) == Revision()) {
+        impl->source.ReadOnce();
       }
-    }
-  }
-
-  /** Meets other hosts that start at the same time. */
-  void ScheduleGreeting()
-  {
-    if (clock.Now() > startedAt + kGreetTime) {
-      return;
-    }
-    greeting.expires_after(kGreetPeriod);
-    greeting.async_wait(
-      [self = weak_from_this()](const asio::error_code& aError) {
-        const auto impl = self.lock();
-        if (!aError && impl) {
-          impl->peers->GreetSeeds();
-          impl->ReadWhenAlone();
-          impl->ScheduleGreeting();
-        }
-      });
+    });
   }
 
   void ScheduleTick()
--- a/src/fleet/PeerExchange.cpp
+++ b/src/fleet/PeerExchange.cpp
@@ -280,6 +280,7 @@
     Send(aTo.ToEndpoint(), EncodeBeat(beat));
   }
 
+  /** Asks each seed that has not answered yet. */
   void GreetSeeds()
   {
     const TimePoint now = clock.Now();
@@ -320,11 +321,6 @@
   return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(impl)));
 }
 
-void PeerExchange::GreetSeeds()
-{
-  impl_->GreetSeeds();
-}
-
 void PeerExchange::Learn(const std::vector<PeerAddress>& aHosts)
 {
   for (const PeerAddress& host : aHosts) {
--- a/src/fleet/PeerExchange.h
+++ b/src/fleet/PeerExchange.h
@@ -57,9 +57,6 @@
   /** One step of time: beats that are due, and hosts that are forgotten. */
   void Tick(const std::vector<LoadReading>& aOwnReadings);
 
-  /** Asks each seed that has not answered so far, for some seconds. */
-  void GreetSeeds();
-
   /** Beats at once, because something changed. */
   void BeatZone(const std::vector<LoadReading>& aOwnReadings);
   void BeatFar();
