Take over repeat terms and the grace time at a reload of the settings

Cause: a reload took over the terms of cold starts only; other changes were read and silently not in force.

--- a/src/balance/RepeatWindow.h
+++ b/src/balance/RepeatWindow.h
@@ -21,6 +21,9 @@
   {
   }
 
+  /** Other terms hold from now on, also for what was counted before. */
+  void SetTerms(const RepeatTerms& aTerms) { terms_ = aTerms; }
+
   void CountRequest(TimePoint aNow);
 
   /** Takes one repeat; false when the window has no room. */
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -175,6 +175,12 @@
   asio::post(impl_->context, [this, aEnd] { impl_->state.BeginDrain(aEnd); });
 }
 
+void Gateway::SetRepeatTerms(const RepeatTerms& aTerms)
+{
+  asio::post(impl_->context,
+             [this, aTerms] { impl_->state.SetRepeatTerms(aTerms); });
+}
+
 void Gateway::CloseIdle()
 {
   asio::post(impl_->context, [this] { impl_->CloseIdle(); });
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -42,6 +42,8 @@
    */
   void BeginDrain(TimePoint aEnd);
 
+  void SetRepeatTerms(const RepeatTerms& aTerms);
+
   /** Closes connections without a request. */
   void CloseIdle();
 
--- a/src/gateway/TrafficState.cpp
+++ b/src/gateway/TrafficState.cpp
@@ -12,6 +12,7 @@
   : context_(aContext)
   , clock_(aClock)
   , options_(aOptions)
+  , repeatTerms_(aOptions.repeats)
   , fleet_(aFleet)
   , load_(aLoad)
   , pool_(aContext, aClock)
@@ -21,7 +22,15 @@
 
 RepeatWindow& TrafficState::RepeatsOf(const ServiceId& aService)
 {
-  return repeats_.try_emplace(aService, options_.repeats).first->second;
+  return repeats_.try_emplace(aService, repeatTerms_).first->second;
+}
+
+void TrafficState::SetRepeatTerms(const RepeatTerms& aTerms)
+{
+  repeatTerms_ = aTerms;
+  for (auto& [service, window] : repeats_) {
+    window.SetTerms(aTerms);
+  }
 }
 
 RouteLearning& TrafficState::LearningOf(const RouteSpec& aRoute)
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -45,6 +45,7 @@
 
   LocalView& ViewOf(const TargetId& aTarget) { return views_[aTarget]; }
   RepeatWindow& RepeatsOf(const ServiceId& aService);
+  void SetRepeatTerms(const RepeatTerms& aTerms);
   SplitCursor& SplitOf(const RouteName& aRoute) { return splits_[aRoute]; }
   RouteLearning& LearningOf(const RouteSpec& aRoute);
 
@@ -74,6 +75,7 @@
   asio::io_context& context_;
   const Clock& clock_;
   const GatewayOptions options_;
+  RepeatTerms repeatTerms_;
   const SnapshotCell<FleetSnapshot>& fleet_;
   const SnapshotCell<LoadSnapshot>& load_;
   TargetPool pool_;
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -59,6 +59,7 @@
   std::unique_ptr<SmallHttpServer> metricsServer;
   asio::steady_timer stopTimer;
   asio::steady_timer logTimer;
+  Duration grace;
   TimePoint stopAt;
   bool stopping = false;
   bool idleClosed = false;
@@ -71,6 +72,7 @@
     , options(aOptions)
     , stopTimer(aContext)
     , logTimer(aContext)
+    , grace(aOptions.grace)
   {
   }
 
@@ -166,7 +168,7 @@
     Log(LogLevel::kInfo, "stopping");
     stopAt = clock.Now();
     control->BeginLeave();
-    gateway->BeginDrain(stopAt + options.grace - kStopMargin);
+    gateway->BeginDrain(stopAt + grace - kStopMargin);
     ScheduleStopCheck();
   }
 
@@ -183,7 +185,7 @@
   void OnStopCheck()
   {
     const Duration passed = clock.Now() - stopAt;
-    if (passed >= options.grace - kStopMargin) {
+    if (passed >= grace - kStopMargin) {
       Log(LogLevel::kWarning, "stopped", { { "by", "the grace time" } });
       context.stop();
       return;
@@ -203,7 +205,7 @@
   {
     const TimePoint now = clock.Now();
     const bool unused = now - aActivity.lastRequest >= kQuiet ||
-                        now - stopAt >= options.grace - kLastUseful;
+                        now - stopAt >= grace - kLastUseful;
     if (aActivity.busy == 0 && unused &&
         now - stopAt >= kBalancerNotices + 2 * kStopCheck) {
       Log(LogLevel::kInfo, "stopped", { { "by", "the last request's end" } });
@@ -236,9 +238,21 @@
   impl_->Stop();
 }
 
-void HostDaemon::SetColdTerms(const ColdTerms& aTerms)
+void HostDaemon::Reload(const HostOptions& aOptions)
 {
-  impl_->control->SetColdTerms(aTerms);
+  impl_->grace = aOptions.grace;
+  impl_->control->SetColdTerms(aOptions.fleet.cold);
+  impl_->gateway->SetRepeatTerms(aOptions.gateway.repeats);
+  const HostOptions& held = impl_->options;
+  if (!(aOptions.gateway.front == held.gateway.front) ||
+      !(aOptions.ready == held.ready) ||
+      aOptions.identity.self.host != held.identity.self.host ||
+      aOptions.identity.self.zone != held.identity.self.zone) {
+    Log(LogLevel::kWarning,
+        "settings",
+        { { "error", "an address, the host's name or its zone differs" },
+          { "remedy", "restart the process" } });
+  }
 }
 
 } // namespace lacewing
--- a/src/host/HostDaemon.h
+++ b/src/host/HostDaemon.h
@@ -36,7 +36,12 @@
    */
   void Stop();
 
-  void SetColdTerms(const ColdTerms& aTerms);
+  /**
+   * Takes over what can change while the process runs: terms of cold starts and
+   * of repeats, and the grace time. The rest needs a restart; a difference
+   * there is logged.
+   */
+  void Reload(const HostOptions& aOptions);
 
 private:
   struct Impl;
--- a/tests/BalanceTest.cpp
+++ b/tests/BalanceTest.cpp
@@ -263,6 +263,18 @@
   CHECK(ranked.front().index == 1);
 }
 
+// Guards against a reload of the settings that leaves the old budget in force.
+TEST_CASE("balance: changed repeat terms hold at once")
+{
+  ManualClock clock;
+  const Duration window = std::chrono::seconds(10);
+  RepeatWindow repeats(RepeatTerms{ 0, window, 0 });
+  repeats.CountRequest(clock.Now());
+  CHECK_FALSE(repeats.Take(clock.Now(), 1));
+  repeats.SetTerms(RepeatTerms{ 0, window, 10 });
+  CHECK(repeats.Take(clock.Now(), 1));
+}
+
 // Guards against second attempts before the first one is late, which double
 // the load, and against a target at its usual speed that counts as stuck.
 TEST_CASE("balance: a second attempt waits beyond the usual work")
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <future>
 #include <thread>
 
@@ -220,6 +221,23 @@
   CHECK(fix.Ready() == 200);
 }
 
+// Guards against a changed setting that is silently not in force.
+TEST_CASE("hostd: a setting that needs a restart is named at the reload")
+{
+  HostdFixture fix(10ms);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  nlohmann::json changed = fix.Settings();
+  changed["platform"]["address"] = "127.0.0.1:1";
+  std::ofstream(fix.settings.Path()) << changed.dump();
+  hostd.Signal(SIGHUP);
+  CHECK(HostdFixture::Within(3s, [&] {
+    return hostd.Output().find("the store's address differs") !=
+           std::string::npos;
+  }));
+  CHECK(fix.Post("/a/x") == 200);
+}
+
 // Guards against a stopping host that takes no more connections while the
 // balancer, for want of others in the zone, still sends it some, and against
 // one that takes requests which it will not live to answer.
