--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -29,8 +29,10 @@
 constexpr double kSilentSeconds = 4;
 // A failure costs the caller about the time of a second attempt and more.
 constexpr double kFailureSeconds = 2.5;
-// A new connection takes a round trip and some work of the target.
-constexpr double kConnectSeconds = 0.004;
+// A new connection takes a round trip and some work of the target, and each is
+// priced at one or two per cent of what a request is worth: targets that are
+// about as good are chosen by their open connections.
+constexpr double kConnectSeconds = 0.03;
 // Bytes between zones are priced: about 2.5 ms of a caller's time a kilobyte.
 constexpr double kZoneSeconds = 0.006;
 constexpr double kZoneSecondsPerByte = 2.5e-6;
