--- a/src/gateway/TargetScout.h
+++ b/src/gateway/TargetScout.h
@@ -12,6 +12,8 @@
 
 namespace lacewing {
 
+class TargetSearch;
+
 /**
  * Finds the target of one sending: asks the best candidates for their load
  * right before the choice, because load shifts within milliseconds and shared
@@ -41,9 +43,8 @@
   bool Searching() const;
 
 private:
-  struct Search;
   TrafficState& state_;
-  std::shared_ptr<Search> search_;
+  std::shared_ptr<TargetSearch> search_;
 };
 
 } // namespace lacewing
