--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -1,6 +1,5 @@
 #include "fleet/FleetControl.h"
 
-#include "balance/Watchers.h"
 #include "core/Log.h"
 #include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
@@ -8,6 +7,7 @@
 #include "fleet/Membership.h"
 #include "fleet/PeerExchange.h"
 #include "fleet/TargetDuties.h"
+#include "fleet/WatchElection.h"
 #include "metrics/MetricsPage.h"
 
 #include <asio/steady_timer.hpp>
@@ -26,14 +26,10 @@
 constexpr unsigned kProbeTicks = 2;
 // Where no seed answered by then, hosts are looked for in the store.
 constexpr Duration kSeedPatience = std::chrono::milliseconds(1200);
-// A starting host waits this long for peers before it may watch the store.
-constexpr Duration kSettle = std::chrono::milliseconds(400);
-// One that heard of no configuration by then, in the time of a few answers of a
-// seed, reads the store once: after a power cut callers are waiting.
+// A starting host that heard of no configuration by then, in the time of a few
+// answers of a seed, reads the store once: after a power cut callers are
+// waiting.
 constexpr Duration kReadPatience = std::chrono::milliseconds(40);
-// A host that could not reach the store is not chosen to watch it again until
-// then, unless none could.
-constexpr Duration kStoreDistrust = std::chrono::seconds(8);
 
 } // namespace
 
@@ -50,13 +46,11 @@
   TargetDuties duties;
   HostDirectory directory;
   std::unique_ptr<PeerExchange> peers;
+  WatchElection election;
   const TimePoint startedAt;
   TimePoint confirmedAt;
-  TimePoint distrustUntil;
   Membership membership;
   unsigned ticks = 0;
-  WatchRole role = WatchRole::kNone;
-  bool storeOk = true;
   bool leaving = false;
   bool searched = false;
 
@@ -90,6 +84,7 @@
                 [this](const std::vector<PeerAddress>& aHosts) {
                   peers->Learn(aHosts);
                 })
+    , election(aClock, { aIdentity.self.host, aIdentity.self.zone })
     , startedAt(aClock.Now())
     , confirmedAt(aClock.Now())
   {
@@ -116,7 +111,7 @@
   {
     PeerExchange::Events events;
     events.state = [this] {
-      return PeerState{ leaving, storeOk, Revisions(), confirmedAt };
+      return PeerState{ leaving, election.StoreOk(), Revisions(), confirmedAt };
     };
     events.onMembership = [this] { OnMembership(); };
     events.onReading = [this](const LoadReading& aReading) {
@@ -209,13 +204,7 @@
 
   void OnReachable(bool aReachable)
   {
-    storeOk = aReachable;
-    Log(aReachable ? LogLevel::kInfo : LogLevel::kWarning,
-        "store",
-        { { "is", aReachable ? "regained" : "lost" } });
-    if (!aReachable) {
-      distrustUntil = clock.Now() + kStoreDistrust;
-    }
+    election.OnReachable(aReachable);
     peers->BeatZone(duties.OwnReadings());
     peers->BeatFar();
     Elect();
@@ -224,44 +213,12 @@
   /** Decides whether this host watches the store. */
   void Elect()
   {
-    const TimePoint now = clock.Now();
-    if (now < startedAt + kSettle) {
-      return;
-    }
-    if (!storeOk && role == WatchRole::kNone && now >= distrustUntil) {
-      storeOk = true;
-    }
-    const OwnerCandidate self{ identity.self.host, identity.self.zone };
-    const std::vector<ZoneId> otherZones = peers->ZonesReachingStore();
-    std::vector<OwnerCandidate> hosts = HostsReachingStore(self);
-    if (hosts.empty() && otherZones.empty()) {
-      // None reaches it: the usual ones try on.
-      hosts = peers->Candidates();
-    }
-    const WatchRole wanted = WatchRoleOf(self, hosts, otherZones);
-    if (wanted != role) {
-      role = wanted;
-      Log(LogLevel::kInfo, "watch", { { "role", ToString(role) } });
-      if (role != WatchRole::kNone) {
+    if (election.Update(*peers, leaving)) {
+      if (election.Role() != WatchRole::kNone) {
         directory.Enter();
       }
-      source.Follow(role, Revisions());
-    }
-  }
-
-  std::vector<OwnerCandidate> HostsReachingStore(
-    const OwnerCandidate& aSelf) const
-  {
-    std::vector<OwnerCandidate> hosts;
-    if (storeOk && !leaving) {
-      hosts.push_back(aSelf);
-    }
-    for (const Peer* peer : peers->Alive()) {
-      if (peer->storeOk && !peer->leaving) {
-        hosts.push_back({ peer->address.host, peer->address.zone });
-      }
+      source.Follow(election.Role(), Revisions());
     }
-    return hosts;
   }
 
   void OnMembership()
@@ -377,7 +334,7 @@
   page.AddGauge("lacewing_store_watched",
                 "1 while this host watches the store.",
                 {},
-                impl_->role == WatchRole::kNone ? 0 : 1);
+                impl_->election.Role() == WatchRole::kNone ? 0 : 1);
   page.AddGauge(
     "lacewing_catalog_age_seconds",
     "Since the store last confirmed the catalog.",
--- /dev/null
+++ b/src/fleet/WatchElection.cpp
@@ -0,0 +1,76 @@
+#include "fleet/WatchElection.h"
+
+#include "balance/Watchers.h"
+#include "core/Log.h"
+
+namespace lacewing {
+
+namespace {
+
+// A starting host waits this long for peers before it may watch the store.
+constexpr Duration kSettle = std::chrono::milliseconds(400);
+// A host that could not reach the store is not chosen to watch it again until
+// then, unless none could.
+constexpr Duration kStoreDistrust = std::chrono::seconds(8);
+
+} // namespace
+
+WatchElection::WatchElection(const Clock& aClock, const OwnerCandidate& aSelf)
+  : clock_(aClock)
+  , self_(aSelf)
+  , startedAt_(aClock.Now())
+{
+}
+
+bool WatchElection::Update(const PeerExchange& aPeers, bool aLeaving)
+{
+  const TimePoint now = clock_.Now();
+  if (now < startedAt_ + kSettle) {
+    return false;
+  }
+  if (!storeOk_ && role_ == WatchRole::kNone && now >= distrustUntil_) {
+    storeOk_ = true;
+  }
+  const std::vector<ZoneId> otherZones = aPeers.ZonesReachingStore();
+  std::vector<OwnerCandidate> hosts = HostsReachingStore(aPeers, aLeaving);
+  if (hosts.empty() && otherZones.empty()) {
+    // None reaches it: the usual ones try on.
+    hosts = aPeers.Candidates();
+  }
+  const WatchRole wanted = WatchRoleOf(self_, hosts, otherZones);
+  if (wanted == role_) {
+    return false;
+  }
+  role_ = wanted;
+  Log(LogLevel::kInfo, "watch", { { "role", ToString(role_) } });
+  return true;
+}
+
+void WatchElection::OnReachable(bool aReachable)
+{
+  storeOk_ = aReachable;
+  Log(aReachable ? LogLevel::kInfo : LogLevel::kWarning,
+      "store",
+      { { "is", aReachable ? "regained" : "lost" } });
+  if (!aReachable) {
+    distrustUntil_ = clock_.Now() + kStoreDistrust;
+  }
+}
+
+std::vector<OwnerCandidate> WatchElection::HostsReachingStore(
+  const PeerExchange& aPeers,
+  bool aLeaving) const
+{
+  std::vector<OwnerCandidate> hosts;
+  if (storeOk_ && !aLeaving) {
+    hosts.push_back(self_);
+  }
+  for (const Peer* peer : aPeers.Alive()) {
+    if (peer->storeOk && !peer->leaving) {
+      hosts.push_back({ peer->address.host, peer->address.zone });
+    }
+  }
+  return hosts;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/fleet/WatchElection.h
@@ -0,0 +1,42 @@
+#ifndef FLEET_WATCHELECTION_H
+#define FLEET_WATCHELECTION_H
+
+#include "balance/OwnerCandidate.h"
+#include "balance/WatchRole.h"
+#include "fleet/PeerExchange.h"
+#include "lacewing/Clock.h"
+
+#include <vector>
+
+namespace lacewing {
+
+/** Decides from what peers tell whether this host watches the store. */
+class WatchElection
+{
+public:
+  WatchElection(const Clock& aClock, const OwnerCandidate& aSelf);
+
+  /** Decides anew; returns whether the role differs from before. */
+  bool Update(const PeerExchange& aPeers, bool aLeaving);
+
+  /** The store answered this host, or failed. */
+  void OnReachable(bool aReachable);
+
+  WatchRole Role() const { return role_; }
+  bool StoreOk() const { return storeOk_; }
+
+private:
+  std::vector<OwnerCandidate> HostsReachingStore(const PeerExchange& aPeers,
+                                                 bool aLeaving) const;
+
+  const Clock& clock_;
+  const OwnerCandidate self_;
+  const TimePoint startedAt_;
+  TimePoint distrustUntil_;
+  WatchRole role_ = WatchRole::kNone;
+  bool storeOk_ = true;
+};
+
+} // namespace lacewing
+
+#endif // FLEET_WATCHELECTION_H
