Take over hosts that come or go together in one step

Each beat that told of a host gave all 3,001 targets owners anew, 75 times in a row when a zone's hosts return, on a tenth of a core. Change: beats only note that the membership changed; the control thread's next step, within 100 ms, takes it over. Catalog changes still act at once.

--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -50,6 +50,8 @@
   const TimePoint startedAt;
   TimePoint confirmedAt;
   Membership membership;
+  /** Beats told of hosts that came or left. */
+  bool membershipDue = false;
   unsigned ticks = 0;
   bool leaving = false;
   bool searched = false;
@@ -113,7 +115,7 @@
     events.state = [this] {
       return PeerState{ leaving, election.StoreOk(), Revisions(), confirmedAt };
     };
-    events.onMembership = [this] { OnMembership(); };
+    events.onMembership = [this] { membershipDue = true; };
     events.onReading = [this](const LoadReading& aReading) {
       duties.OnReading(aReading);
     };
@@ -257,11 +259,16 @@
 
   void OnTick()
   {
-    if (++ticks % kProbeTicks == 0) {
+    const bool probes = ++ticks % kProbeTicks == 0;
+    // Hosts that come or go together are taken over together: each time all
+    // targets are given owners anew.
+    if (std::exchange(membershipDue, false) || !probes) {
+      OnMembership();
+    }
+    if (probes) {
       duties.ProbeAll();
       return;
     }
-    OnMembership();
     if (!searched && !peers->HasHeard() &&
         clock.Now() > startedAt + kSeedPatience) {
       searched = true;
