Stop listening in the step that finds the gateway quiet

Cause: a stopping host asked the traffic thread for its open requests and ended some microseconds later, on the control thread. A request that had arrived in between, or that the kernel had accepted, was cut off. Found by reading.

Change: Gateway::CloseIfQuiet accepts what waits in the kernel, counts partly read requests and unread bytes, and closes the listening socket in the same step of the traffic thread. The process ends 50 ms after that, when callers have seen the end of their idle connections.

Result: GatewayStopTest keeps the traffic thread busy while a request arrives on a new and on a kept connection: both are answered (before: the gateway counted no request and the process ended).

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -292,7 +292,7 @@
 
 void CallerSession::CloseIfIdle()
 {
-  if (stage_ == Stage::kReading && !parser_.Started() && pending_.empty()) {
+  if (stage_ == Stage::kReading && !Busy()) {
     Linger();
   }
 }
@@ -303,6 +303,16 @@
     return;
   }
   stage_ = Stage::kClosed;
+bool CallerSession::Busy() const
+{
+  if (stage_ == Stage::kResponding) {
+    return true;
+  }
+  asio::error_code ignored;
+  return stage_ == Stage::kReading && (parser_.Started() || !pending_.empty() ||
+                                       socket_.available(ignored) > 0);
+}
+
   timer_.cancel();
   exchange_.reset();
   asio::error_code ignored;
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -31,7 +31,10 @@
   /** Closes the connection if no request is in progress or partly read. */
   void CloseIfIdle();
 
-  bool Busy() const { return static_cast<bool>(exchange_) || writing_; }
+  /** Whether a request is in progress, partly read or waits to be read. */
+  bool Busy() const;
+
+  void Close();
 
 private:
   enum class Stage
@@ -53,7 +56,6 @@
   void Write();
   void OnWritten(const asio::error_code& aError);
   void Linger();
-  void Close();
   void ArmTimer(Duration aAfter);
   void ArmReadTimer();
   void OnTimer();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <set>
 #include <thread>
 #include <utility>
@@ -30,6 +31,7 @@
 {
   asio::io_context context{ 1 };
   asio::ip::tcp::acceptor acceptor;
+  std::uint16_t port = 0;
   asio::steady_timer cleanUp;
   asio::steady_timer acceptPause;
   TrafficState state;
@@ -70,6 +72,7 @@
                     error.message(),
                   "check that the address is this host's and free");
     }
+    port = acceptor.local_endpoint().port();
     return outcome::success();
   }
 
@@ -84,7 +87,7 @@
           Log(LogLevel::kWarning, "accept", { { "error", aError.message() } });
           acceptPause.expires_after(kAcceptPause);
           acceptPause.async_wait([this](const asio::error_code& aWaitError) {
-            if (!aWaitError) {
+            if (!aWaitError && acceptor.is_open()) {
               Accept();
             }
           });
@@ -116,14 +119,43 @@
     });
   }
 
-  GatewayActivity Activity() const
+  /**
+   * Stops listening if no request came for aQuiet, and none is in progress, on
+   * its way in or in a connection that the kernel has accepted.
+   */
+  bool CloseIfQuiet(Duration aQuiet)
   {
-    GatewayActivity activity;
-    activity.lastRequest = state.LastRequest();
-    for (const auto& session : sessions) {
-      activity.busy += session->Busy() ? 1 : 0;
+    if (!acceptor.is_open()) {
+      return true;
+    }
+    const bool accepted = AcceptPending();
+    const bool busy =
+      std::any_of(sessions.begin(), sessions.end(), [](const auto& aSession) {
+        return aSession->Busy();
+      });
+    if (accepted || busy || state.Now() - state.LastRequest() < aQuiet) {
+      return false;
+    }
+    asio::error_code ignored;
+    acceptor.close(ignored);
+    CloseIdle();
+    return true;
+  }
+
+  /** Opens the connections that wait to be accepted; false without any. */
+  bool AcceptPending()
+  {
+    acceptor.non_blocking(true);
+    bool any = false;
+    while (true) {
+      asio::error_code error;
+      asio::ip::tcp::socket socket = acceptor.accept(error);
+      if (error) {
+        return any;
+      }
+      any = true;
+      Open(std::move(socket));
     }
-    return activity;
   }
 
   void CloseIdle()
@@ -167,7 +199,7 @@
 
 std::uint16_t Gateway::Port() const
 {
-  return impl_->acceptor.local_endpoint().port();
+  return impl_->port;
 }
 
 void Gateway::BeginDrain(TimePoint aEnd)
@@ -186,10 +218,10 @@
   asio::post(impl_->context, [this] { impl_->CloseIdle(); });
 }
 
-void Gateway::ReadActivity(std::function<void(GatewayActivity)> aHandler)
+void Gateway::CloseIfQuiet(Duration aQuiet, std::function<void(bool)> aHandler)
 {
-  asio::post(impl_->context, [this, handler = std::move(aHandler)] {
-    handler(impl_->Activity());
+  asio::post(impl_->context, [this, aQuiet, handler = std::move(aHandler)] {
+    handler(impl_->CloseIfQuiet(aQuiet));
   });
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -4,7 +4,6 @@
 #include "balance/FleetSnapshot.h"
 #include "balance/LoadSnapshot.h"
 #include "core/SnapshotCell.h"
-#include "gateway/GatewayActivity.h"
 #include "gateway/GatewayCounters.h"
 #include "gateway/GatewayOptions.h"
 #include "lacewing/Clock.h"
@@ -47,8 +46,12 @@
   /** Closes connections on which no request is in progress. */
   void CloseIdle();
 
-  /** Calls aHandler with the current activity, on the traffic thread. */
-  void ReadActivity(std::function<void(GatewayActivity)> aHandler);
+  /**
+   * Stops listening if no request was received for aQuiet and none is in
+   * progress or waits to be read. Calls aHandler on the traffic thread with
+   * whether the gateway no longer listens.
+   */
+  void CloseIfQuiet(Duration aQuiet, std::function<void(bool)> aHandler);
 
   /** Calls aHandler with a copy of the counters, on the traffic thread. */
   void ReadCounters(std::function<void(GatewayCounters)> aHandler);
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -21,14 +21,16 @@
 // after two failed polls. It opens new connections to the host until then.
 constexpr Duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
 // When most hosts of a zone are out of rotation, the balancer sends requests to
-// all of them. A stopping host therefore exits only after it has received no
-// request for this long.
+// all of them. A stopping host therefore stops listening only after it has
+// received no request for this long.
 constexpr Duration kIdleBeforeStop = std::chrono::milliseconds(1000);
 // In this last part of the grace period few requests could still finish, so
 // the host no longer waits for kIdleBeforeStop to pass.
 constexpr Duration kIdleWaitCutoff = std::chrono::milliseconds(1000);
 // Buffered log lines are flushed this often.
 constexpr Duration kLogPeriod = std::chrono::milliseconds(200);
+// Callers see the end of their idle connections before the process ends.
+constexpr Duration kCloseTime = std::chrono::milliseconds(50);
 // How often a stopping host checks whether all requests have ended.
 constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(50);
 // Part of the grace period that is kept back for an orderly exit.
@@ -65,6 +67,8 @@
   TimePoint stopRequestedAt;
   bool stopping = false;
   bool idleConnectionsClosed = false;
+  /** The gateway no longer listens; the process ends after kCloseTime. */
+  bool closed = false;
 
   Impl(asio::io_context& aContext,
        const Clock& aClock,
@@ -198,23 +202,26 @@
       if (!std::exchange(idleConnectionsClosed, true)) {
         gateway->CloseIdle();
       }
-      gateway->ReadActivity([this](const GatewayActivity& aActivity) {
-        asio::post(context, [this, aActivity] { OnActivity(aActivity); });
+      const Duration quiet =
+        elapsed < gracePeriod - kIdleWaitCutoff ? kIdleBeforeStop : Duration(0);
+      gateway->CloseIfQuiet(quiet, [this](bool aClosed) {
+        asio::post(context, [this, aClosed] { OnCloseChecked(aClosed); });
       });
     }
     ScheduleStopCheck();
   }
 
-  void OnActivity(const GatewayActivity& aActivity)
+  void OnCloseChecked(bool aClosed)
   {
-    const TimePoint now = clock.Now();
-    const bool idle = now - aActivity.lastRequest >= kIdleBeforeStop ||
-                      now - stopRequestedAt >= gracePeriod - kIdleWaitCutoff;
-    if (aActivity.busy == 0 && idle &&
-        now - stopRequestedAt >=
-          kBalancerDetectionTime + 2 * kStopCheckPeriod) {
-      Log(LogLevel::kInfo, "stopped", { { "by", "the last request's end" } });
-      context.stop();
+    if (aClosed && !std::exchange(closed, true)) {
+      stopTimer.expires_after(kCloseTime);
+      stopTimer.async_wait([this](const asio::error_code& aError) {
+        if (!aError) {
+          Log(
+            LogLevel::kInfo, "stopped", { { "by", "the last request's end" } });
+          context.stop();
+        }
+      });
     }
   }
 };
--- /dev/null
+++ b/tests/GatewayStopTest.cpp
@@ -0,0 +1,93 @@
+#include "support/TestGateway.h"
+
+#include <atomic>
+#include <thread>
+
+using namespace lacewing;
+
+namespace {
+
+std::string RespondOk(const std::string& aId, int)
+{
+  return SignedResponse(aId, "ok " + aId);
+}
+
+/** Asks the gateway to stop listening if it is quiet; returns its answer. */
+bool CloseIfQuiet(TestGateway& aGateway, Duration aQuiet = Duration(0))
+{
+  std::promise<bool> closed;
+  aGateway.Get().CloseIfQuiet(
+    aQuiet, [&closed](bool aClosed) { closed.set_value(aClosed); });
+  return closed.get_future().get();
+}
+
+/** Keeps the traffic thread busy, so that connections wait in the kernel. */
+void Occupy(TestGateway& aGateway, std::atomic<bool>& aRelease)
+{
+  aGateway.Get().ReadCounters([&aRelease](const GatewayCounters&) {
+    while (!aRelease) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  });
+}
+
+} // namespace
+
+// Guards against a planned stop that cuts off a request which the kernel had
+// accepted just before: the stop decided on a count that did not include it.
+TEST_CASE("gateway: an accepted connection keeps a stopping gateway open")
+{
+  GatewayTarget target(&RespondOk);
+  TestGateway gateway({ &target });
+  const std::uint16_t port = gateway.Port();
+  std::atomic<bool> release{ false };
+  Occupy(gateway, release);
+  RawCaller caller(port);
+  caller.Send(TestGateway::Request("GET", "/safe/a", "r1"));
+  std::thread releaser([&release] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    release = true;
+  });
+  CHECK(!CloseIfQuiet(gateway));
+  releaser.join();
+  CHECK(caller.ReadUntil("ok r1").find("ok r1") != std::string::npos);
+}
+
+// Guards against the same on a kept connection whose next request has arrived
+// and was not read yet.
+TEST_CASE("gateway: an unread request keeps a stopping gateway open")
+{
+  GatewayTarget target(&RespondOk);
+  TestGateway gateway({ &target });
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("GET", "/safe/a", "r1"));
+  caller.ReadUntil("ok r1");
+  std::atomic<bool> release{ false };
+  Occupy(gateway, release);
+  caller.Send(TestGateway::Request("GET", "/safe/a", "r2"));
+  std::thread releaser([&release] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    release = true;
+  });
+  CHECK(!CloseIfQuiet(gateway));
+  releaser.join();
+  CHECK(caller.ReadUntil("ok r2").find("ok r2") != std::string::npos);
+}
+
+// Guards against a stopping host that never ends, and against one that ends
+// while callers still come.
+TEST_CASE("gateway: a quiet gateway stops listening")
+{
+  GatewayTarget target(&RespondOk);
+  TestGateway gateway({ &target });
+  const std::uint16_t port = gateway.Port();
+  RawCaller kept(port);
+  kept.Send(TestGateway::Request("GET", "/safe/a", "r1"));
+  kept.ReadUntil("ok r1");
+  CHECK(!CloseIfQuiet(gateway, std::chrono::hours(1)));
+  CHECK(CloseIfQuiet(gateway));
+  CHECK(CloseIfQuiet(gateway));
+  kept.ReadToEnd();
+  CHECK(kept.Closed());
+  CHECK_THROWS(RawCaller(port));
+}
