Own open requests and searches in one place

Cause: an attempt's connection held its handler, which held the request, which held the connection; a probe and its search likewise.

Change: OpenWork, part of the traffic thread's state, owns requests and searches until they end; handlers refer to them weakly. The gateway ends its sessions and open work before its state goes.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -59,6 +59,7 @@
 {
   ++state_.Counters().requests;
   state_.RecordRequest(startedAt_);
+  state_.Open().Add(shared_from_this());
   Begin();
 }
 
@@ -170,7 +171,11 @@
     service_,
     context,
     triedTargets_,
-    [this](std::optional<FoundTarget> aFound) { OnFound(std::move(aFound)); });
+    [self = weak_from_this()](std::optional<FoundTarget> aFound) {
+      if (const auto exchange = self.lock()) {
+        exchange->OnFound(std::move(aFound));
+      }
+    });
 }
 
 /**
@@ -236,8 +241,10 @@
   };
   attempt.connection->Send(
     std::move(request),
-    [self = shared_from_this(), id = attempt.id](ExchangeResult aResult) {
-      self->OnEnded(id, std::move(aResult));
+    [self = weak_from_this(), id = attempt.id](ExchangeResult aResult) {
+      if (const auto exchange = self.lock()) {
+        exchange->OnEnded(id, std::move(aResult));
+      }
     });
   attempts_.push_back(std::move(attempt));
   if (sent_ == 1 && !RunsAtMostOnce(route_->requestClass)) {
@@ -365,9 +372,8 @@
   }
   state_.Counters().latency.Add(state_.Now() - startedAt_);
   LogEnd(Trace(), aResponse.head.status, aOutcome);
-  deadlineTimer_.cancel();
-  stepTimer_.cancel();
-  CancelAttempts();
+  const auto self = shared_from_this();
+  End();
   if (const Handler handler = std::exchange(handler_, nullptr)) {
     handler(std::move(aResponse));
   }
@@ -384,9 +390,17 @@
   if (route_ != nullptr && RunsAtMostOnce(route_->requestClass)) {
     return;
   }
+  const auto self = shared_from_this();
+  End();
+}
+
+void Exchange::End()
+{
+  done_ = true;
   done_ = true;
   LogEnd(Trace(), 0, "caller-gone");
   deadlineTimer_.cancel();
+  state_.Open().Remove(this);
   stepTimer_.cancel();
   CancelAttempts();
 }
@@ -409,10 +423,7 @@
     state_.ViewOf(attempt.target.id).OnEnded();
     LogCancelled(state_, id_, attempt);
   }
-  // Destroying a connection destroys its handler, which may hold the last
-  // reference to this exchange. The attempts are moved out first so that
-  // attempts_ is never seen partly destroyed.
-  const std::vector<Attempt> cancelled = std::exchange(attempts_, {});
+  attempts_.clear();
 }
 
 } // namespace lacewing
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -79,6 +79,8 @@
   void FinishFailed();
   void FinishLocally(LocalResponseKind aKind);
   void Finish(HttpMessage aResponse, const char* aOutcome);
+  /** Stops timers and attempts; no handler runs any more. */
+  void End();
   void CancelAttempts();
   RequestTrace Trace() const;
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -158,6 +158,16 @@
     }
   }
 
+  /** Ends all requests, so that nothing refers to the state when it goes. */
+  void AbortAll()
+  {
+    const auto open = sessions;
+    for (const auto& session : open) {
+      session->Close();
+    }
+    state.Open().Clear();
+  }
+
   void CloseIdle()
   {
     const auto open = sessions;
@@ -195,6 +205,7 @@
 {
   impl_->context.stop();
   impl_->thread.join();
+  impl_->AbortAll();
 }
 
 std::uint16_t Gateway::Port() const
--- a/src/gateway/TargetSearch.cpp
+++ b/src/gateway/TargetSearch.cpp
@@ -138,8 +138,10 @@
   };
   sent->connection->Send(
     std::move(request),
-    [self = shared_from_this(), sent](const ExchangeResult& aResult) {
-      self->OnProbeEnded(*sent, aResult);
+    [self = weak_from_this(), sent](const ExchangeResult& aResult) {
+      if (const auto search = self.lock()) {
+        search->OnProbeEnded(*sent, aResult);
+      }
     });
 }
 
@@ -257,9 +259,10 @@
   if (waiting) {
     timer_.expires_after(kLateResponseTime);
     timer_.async_wait(
-      [self = shared_from_this()](const asio::error_code& aError) {
-        if (!aError) {
-          self->DropUnresponsive();
+      [self = weak_from_this()](const asio::error_code& aError) {
+        const auto search = self.lock();
+        if (!aError && search) {
+          search->DropUnresponsive();
         }
       });
   }
@@ -270,6 +273,7 @@
   const TimePoint now = state_.Now();
   for (const auto& probe : probes_) {
     if (!probe->completed) {
+    state_.Open().Add(shared_from_this());
       LoadReading unresponsive;
       unresponsive.target = probe->target.spec.id;
       unresponsive.measuredAt = unresponsive.probedAt = now;
@@ -293,6 +297,7 @@
   handler_ = nullptr;
   if (!done_) {
     End();
+  state_.Open().Remove(this);
   }
 }
 
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -11,6 +11,7 @@
 #include "core/SnapshotCell.h"
 #include "gateway/GatewayCounters.h"
 #include "gateway/GatewayOptions.h"
+#include "gateway/OpenWork.h"
 #include "gateway/RouteStatistics.h"
 #include "gateway/TargetConnectionPool.h"
 
@@ -43,6 +44,8 @@
   std::shared_ptr<const LoadSnapshot> Load() const { return load_.Get(); }
 
   TargetConnectionPool& Pool() { return pool_; }
+  /** Requests and searches that have not ended. */
+  OpenWork& Open() { return open_; }
   TargetChooser& Chooser() { return *chooser_; }
   GatewayCounters& Counters() { return counters_; }
 
@@ -95,6 +98,7 @@
   std::map<RouteName, RouteStatistics> routeStatistics_;
   std::optional<TimePoint> drainEnd_;
   TimePoint lastRequest_;
+  OpenWork open_;
 };
 
 } // namespace lacewing
--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -33,6 +33,29 @@
 
 } // namespace
 
+// Guards against a leak: an attempt's connection held its request, and a
+// probe's its search, each of which held the connection. Seen by the address
+// sanitizer's build.
+TEST_CASE("gateway: ending with requests in progress frees them")
+{
+  GatewayTarget slow([](const std::string& aId, int) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    return SignedResponse(aId, "late");
+  });
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  {
+    TestGateway gateway({ &slow });
+    for (const char* path : { "/safe/x", "/once/x", "/upload/x" }) {
+      callers.push_back(std::make_unique<RawCaller>(gateway.Port()));
+      callers.back()->Send(TestGateway::Request("POST", path, path, "b"));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  }
+  for (const auto& caller : callers) {
+    CHECK(caller->ReadToEnd(std::chrono::milliseconds(100)).empty());
+  }
+}
+
 // Guards against a planned stop that cuts off a request which the kernel had
 // accepted just before: the stop decided on a count that did not include it.
 TEST_CASE("gateway: an accepted connection keeps a stopping gateway open")
