Stop searching for a caller who left

Cause: a request that runs at most once is left to complete at its target when its caller leaves, but one that still waited for a target was treated alike: it was sent some milliseconds later, to nobody.

Change: only a request that has been sent is left to complete.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -387,7 +387,7 @@
   if (done_) {
     return;
   }
-  if (route_ != nullptr && RunsAtMostOnce(route_->requestClass)) {
+  if (!attempts_.empty() && RunsAtMostOnce(route_->requestClass)) {
     return;
   }
   const auto self = shared_from_this();
--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -114,3 +114,23 @@
   CHECK(kept.Closed());
   CHECK_THROWS(RawCaller(port));
 }
+
+// Guards against sending a request that runs at most once for a caller who
+// left while it still waited for a target.
+TEST_CASE("gateway: a caller who left no longer waits for a target")
+{
+  GatewayTarget target(&RespondOk);
+  target.healthStatus = 503;
+  target.coldMs = 10000;
+  TestGateway gateway({ &target });
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/x", "r1", "b"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(15));
+  caller.Close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(15));
+  target.healthStatus = 200;
+  target.coldMs = 0;
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  CHECK(target.Runs() == 0);
+  CHECK(gateway.Counters().callerDisconnects == 1);
+}
