Keep a process alive when a handler throws

Cause: no thread that runs an io_context caught exceptions, so one unexpected error in a handler, such as a failed allocation, ended the whole process.

Change: RunContext logs the error and goes on; hostd, entryd and controld use it on their control and traffic threads.

--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "core/NewIncarnation.h"
+#include "core/RunContext.h"
 #include "entry/EntryAdminSource.h"
 #include "entry/EntryControl.h"
 #include "entry/GracefulStop.h"
@@ -118,7 +119,7 @@
       { { "host", impl_->settings.host.value() },
         { "callers", std::to_string(CallerPort()) },
         { "admin", std::to_string(AdminPort()) } });
-  impl_->context.run();
+  RunContext(impl_->context);
   return impl_->stop->AllAnswered();
 }
 
--- a/src/entry/TrafficWorker.cpp
+++ b/src/entry/TrafficWorker.cpp
@@ -1,5 +1,6 @@
 #include "entry/TrafficWorker.h"
 
+#include "core/RunContext.h"
 #include "entry/AnswerWriter.h"
 #include "entry/RequestForwarder.h"
 #include "net/HttpServer.h"
@@ -107,7 +108,7 @@
         forwarder->Handle(std::move(aRequest), std::move(aResponder));
       }));
   impl->ScheduleReport();
-  impl->thread = std::thread([raw = impl.get()] { raw->context.run(); });
+  impl->thread = std::thread([raw = impl.get()] { RunContext(raw->context); });
   return std::unique_ptr<TrafficWorker>(new TrafficWorker(std::move(impl)));
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "core/Log.h"
+#include "core/RunContext.h"
 #include "gateway/CallerSession.h"
 #include "gateway/TrafficState.h"
 
@@ -180,7 +181,7 @@
   {
     Accept();
     ScheduleCleanUp();
-    thread = std::thread([this] { context.run(); });
+    thread = std::thread([this] { RunContext(context); });
   }
 };
 
--- a/tools/lacewing_controld.cpp
+++ b/tools/lacewing_controld.cpp
@@ -2,6 +2,7 @@
 #include "control/ControlSettingsReader.h"
 #include "core/Log.h"
 #include "core/MonotonicClock.h"
+#include "core/RunContext.h"
 #include "flags/ProgramFlags.h"
 
 #include <absl/flags/flag.h>
@@ -38,7 +39,7 @@
       daemon.value()->Stop([&context] { context.stop(); });
     }
   });
-  context.run();
+  RunContext(context);
   return 0;
 }
 
