Bound what targets that send without end can cost

Cause: each answer may take 16 MiB, and nothing bounded all of them together: ten targets that stream without end exceed a host of 160 MB. Interim answers and answers to other requests were skipped for as long as they came.

After 16 skipped answers the connection is closed. A stated length reserves at most 256 KiB before its bytes arrive, and the owner's probes read at most 64 KiB. BufferBudget and BufferCharge move from entry to core.

--- a/src/entry/BufferBudget.h
+++ b/src/core/BufferBudget.h
@@ -1,12 +1,12 @@
-#ifndef ENTRY_BUFFERBUDGET_H
-#define ENTRY_BUFFERBUDGET_H
+#ifndef CORE_BUFFERBUDGET_H
+#define CORE_BUFFERBUDGET_H
 
+#include "core/ReadBudget.h"
 #include "lacewing/ByteCount.h"
-#include "net/ReadBudget.h"
 
 namespace lacewing {
 
-/** Counts the bytes that one worker holds against its limit. */
+/** Counts the bytes that one thread holds against its limit. */
 class BufferBudget final : public ReadBudget
 {
 public:
@@ -35,4 +35,4 @@
 
 } // namespace lacewing
 
-#endif // ENTRY_BUFFERBUDGET_H
+#endif // CORE_BUFFERBUDGET_H
--- a/src/entry/BufferCharge.cpp
+++ b/src/core/BufferCharge.cpp
@@ -1,4 +1,4 @@
-#include "entry/BufferCharge.h"
+#include "core/BufferCharge.h"
 
 #include <utility>
 
--- a/src/entry/BufferCharge.h
+++ b/src/core/BufferCharge.h
@@ -1,13 +1,13 @@
-#ifndef ENTRY_BUFFERCHARGE_H
-#define ENTRY_BUFFERCHARGE_H
+#ifndef CORE_BUFFERCHARGE_H
+#define CORE_BUFFERCHARGE_H
 
-#include "entry/BufferBudget.h"
+#include "core/BufferBudget.h"
 
 #include <memory>
 
 namespace lacewing {
 
-/** What one request holds of a BufferBudget; given back when destroyed. */
+/** What one message holds of a BufferBudget; given back when destroyed. */
 class BufferCharge
 {
 public:
@@ -32,4 +32,4 @@
 
 } // namespace lacewing
 
-#endif // ENTRY_BUFFERCHARGE_H
+#endif // CORE_BUFFERCHARGE_H
--- a/src/net/ReadBudget.h
+++ b/src/core/ReadBudget.h
@@ -1,11 +1,11 @@
-#ifndef NET_READBUDGET_H
-#define NET_READBUDGET_H
+#ifndef CORE_READBUDGET_H
+#define CORE_READBUDGET_H
 
 #include "lacewing/ByteCount.h"
 
 namespace lacewing {
 
-/** Where a server takes the memory for requests that are not whole yet. */
+/** Where a reader takes the memory for messages that are not whole yet. */
 class ReadBudget
 {
 public:
@@ -19,4 +19,4 @@
 
 } // namespace lacewing
 
-#endif // NET_READBUDGET_H
+#endif // CORE_READBUDGET_H
--- a/src/entry/PendingRequest.h
+++ b/src/entry/PendingRequest.h
@@ -1,7 +1,7 @@
 #ifndef ENTRY_PENDINGREQUEST_H
 #define ENTRY_PENDINGREQUEST_H
 
-#include "entry/BufferCharge.h"
+#include "core/BufferCharge.h"
 #include "lacewing/AttemptId.h"
 #include "lacewing/Clock.h"
 #include "net/HttpCallId.h"
--- a/src/entry/RequestForwarder.h
+++ b/src/entry/RequestForwarder.h
@@ -1,8 +1,8 @@
 #ifndef ENTRY_REQUESTFORWARDER_H
 #define ENTRY_REQUESTFORWARDER_H
 
+#include "core/BufferBudget.h"
 #include "decision/RequestEngine.h"
-#include "entry/BufferBudget.h"
 #include "entry/ForwarderOptions.h"
 #include "entry/PendingRequest.h"
 #include "entry/RequestTranslator.h"
--- a/src/fleet/Prober.cpp
+++ b/src/fleet/Prober.cpp
@@ -14,6 +14,8 @@
 // A healthy target responds within some milliseconds. One that takes this long
 // would delay a request as well.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+// The head of a response tells the health; a healthy target sends hardly more.
+constexpr ByteCount kMaxProbeBody{ 64U << 10U };
 
 } // namespace
 
@@ -38,6 +40,7 @@
       ConnectionOptions options;
       options.endpoint = aEntry.target.spec.endpoint;
       options.connectTimeout = kProbeTimeout;
+      options.limits.maxBody = kMaxProbeBody;
       aEntry.caller = std::make_unique<HttpCaller>(context, options, clock);
     }
     if (aEntry.caller->Busy()) {
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -25,6 +25,9 @@
 // The connection closes if the caller has not read the response by then.
 constexpr Duration kWriteTimeout = std::chrono::seconds(20);
 
+// Bodies that fill the memory are read within about this time.
+constexpr Duration kNoMemoryRetryAfter = std::chrono::milliseconds(500);
+
 LocalResponseKind LocalResponseFor(ParseFailure aFailure)
 {
   switch (aFailure) {
@@ -32,6 +35,8 @@
       return LocalResponseKind::kHeadTooLarge;
     case ParseFailure::kBodyTooLarge:
       return LocalResponseKind::kBodyTooLarge;
+    case ParseFailure::kNoMemory:
+      return LocalResponseKind::kRefused;
     case ParseFailure::kNone:
     case ParseFailure::kMalformed:
       return LocalResponseKind::kMalformed;
@@ -74,7 +79,7 @@
   asio::error_code ignored;
   socket_.non_blocking(true, ignored);
   const CallerLimits limits = Limits();
-  parser_.SetLimits({ limits.maxHead, limits.maxBody });
+  parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
   ArmReadTimer();
   Read();
 }
@@ -176,7 +181,13 @@
 {
   ++state_.Counters().badRequests;
   keepAlive_ = false;
-  Respond(MakeLocalResponse(LocalResponseFor(parser_.Failure())));
+  const LocalResponseKind kind = LocalResponseFor(parser_.Failure());
+  const bool refused = kind == LocalResponseKind::kRefused;
+  Respond(MakeLocalResponse(
+    kind,
+    {},
+    {},
+    refused ? std::optional<Duration>(kNoMemoryRetryAfter) : std::nullopt));
 }
 
 /** Sends 100 Continue to a caller that waits for it before sending the body. */
@@ -235,6 +246,7 @@
   aResponse.head.fields = EndToEndFields(std::move(aResponse.head.fields));
   outHead_ = AnswerHeadBytes(aResponse.head, aResponse.body.size());
   outBody_ = isHeadRequest_ ? std::string() : std::move(aResponse.body);
+  outCharge_ = std::move(aResponse.charge);
   Write();
 }
 
@@ -264,13 +276,14 @@
   }
   outHead_ = std::string();
   outBody_ = std::string();
+  outCharge_.reset();
   if (!keepAlive_) {
     Linger();
     return;
   }
   stage_ = Stage::kReading;
   const CallerLimits limits = Limits();
-  parser_.SetLimits({ limits.maxHead, limits.maxBody });
+  parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
   ArmReadTimer();
   ParsePending();
   Read();
@@ -290,6 +303,16 @@
   Read();
 }
 
+bool CallerSession::Busy() const
+{
+  if (stage_ == Stage::kResponding) {
+    return true;
+  }
+  asio::error_code ignored;
+  return stage_ == Stage::kReading && (parser_.Started() || !pending_.empty() ||
+                                       socket_.available(ignored) > 0);
+}
+
 void CallerSession::CloseIfIdle()
 {
   if (stage_ == Stage::kReading && !Busy()) {
@@ -303,16 +326,6 @@
     return;
   }
   stage_ = Stage::kClosed;
-bool CallerSession::Busy() const
-{
-  if (stage_ == Stage::kResponding) {
-    return true;
-  }
-  asio::error_code ignored;
-  return stage_ == Stage::kReading && (parser_.Started() || !pending_.empty() ||
-                                       socket_.available(ignored) > 0);
-}
-
   timer_.cancel();
   exchange_.reset();
   asio::error_code ignored;
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -71,6 +71,8 @@
   std::shared_ptr<Exchange> exchange_;
   std::string outHead_;
   std::string outBody_;
+  /** The response body's share of the memory for bodies. */
+  std::shared_ptr<BufferCharge> outCharge_;
   Stage stage_ = Stage::kReading;
   bool reading_ = false;
   bool writing_ = false;
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -3,6 +3,7 @@
 
 #include "balance/RetryLimits.h"
 #include "gateway/HeaderNames.h"
+#include "lacewing/ByteCount.h"
 #include "lacewing/Endpoint.h"
 
 #include <cstdint>
@@ -16,6 +17,8 @@
   Endpoint front;
   HeaderNames names;
   RetryLimits retries;
+  /** Limit of the bodies of all requests and responses in progress. */
+  ByteCount maxBuffered{ 64U << 20U };
   /** Seed of the random generator that chooses targets. */
   std::uint64_t seed = 1;
 };
--- a/src/gateway/TargetConnectionPool.cpp
+++ b/src/gateway/TargetConnectionPool.cpp
@@ -18,10 +18,13 @@
 
 } // namespace
 
-TargetConnectionPool::TargetConnectionPool(asio::io_context& aContext,
-                                           const Clock& aClock)
+TargetConnectionPool::TargetConnectionPool(
+  asio::io_context& aContext,
+  const Clock& aClock,
+  std::shared_ptr<BufferBudget> aBuffers)
   : context_(aContext)
   , clock_(aClock)
+  , buffers_(std::move(aBuffers))
 {
 }
 
@@ -53,6 +56,7 @@
   ConnectionOptions options;
   options.endpoint = aTarget.endpoint;
   options.limits.maxBody = kMaxResponse;
+  options.limits.budget = buffers_;
   return std::make_unique<HttpConnection>(context_, options, clock_);
 }
 
--- a/src/gateway/TargetConnectionPool.h
+++ b/src/gateway/TargetConnectionPool.h
@@ -2,6 +2,7 @@
 #define GATEWAY_TARGETCONNECTIONPOOL_H
 
 #include "catalog/TargetSpec.h"
+#include "core/BufferBudget.h"
 #include "http/HttpConnection.h"
 #include "lacewing/Clock.h"
 
@@ -18,7 +19,10 @@
 class TargetConnectionPool
 {
 public:
-  TargetConnectionPool(asio::io_context& aContext, const Clock& aClock);
+  /** The bodies of responses count against aBuffers. */
+  TargetConnectionPool(asio::io_context& aContext,
+                       const Clock& aClock,
+                       std::shared_ptr<BufferBudget> aBuffers);
 
   /** The most recently used free connection, or a new one. */
   std::unique_ptr<HttpConnection> Take(const TargetSpec& aTarget);
@@ -46,6 +50,7 @@
 
   asio::io_context& context_;
   const Clock& clock_;
+  const std::shared_ptr<BufferBudget> buffers_;
   std::map<TargetId, TargetConnections> targets_;
 };
 
--- a/src/gateway/TrafficState.cpp
+++ b/src/gateway/TrafficState.cpp
@@ -15,7 +15,8 @@
   , retryTerms_(aOptions.retries)
   , fleet_(aFleet)
   , load_(aLoad)
-  , pool_(aContext, aClock)
+  , buffers_(std::make_shared<BufferBudget>(aOptions.maxBuffered))
+  , pool_(aContext, aClock, buffers_)
   , chooser_(MakeEarliestResponseChooser(aOptions.seed))
 {
 }
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -8,6 +8,7 @@
 #include "balance/SplitCursor.h"
 #include "balance/TargetChooser.h"
 #include "balance/TargetObservations.h"
+#include "core/BufferBudget.h"
 #include "core/SnapshotCell.h"
 #include "gateway/GatewayCounters.h"
 #include "gateway/GatewayOptions.h"
@@ -44,6 +45,8 @@
   std::shared_ptr<const LoadSnapshot> Load() const { return load_.Get(); }
 
   TargetConnectionPool& Pool() { return pool_; }
+  /** The memory for bodies of requests and responses in progress. */
+  const std::shared_ptr<BufferBudget>& Buffers() const { return buffers_; }
   /** Requests and searches that have not ended. */
   OpenWork& Open() { return open_; }
   TargetChooser& Chooser() { return *chooser_; }
@@ -88,6 +91,7 @@
   RetryLimits retryTerms_;
   const SnapshotCell<FleetSnapshot>& fleet_;
   const SnapshotCell<LoadSnapshot>& load_;
+  const std::shared_ptr<BufferBudget> buffers_;
   TargetConnectionPool pool_;
   std::unique_ptr<TargetChooser> chooser_;
   GatewayCounters counters_;
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -21,6 +21,10 @@
 
 namespace {
 
+// Beyond this number of answers that are skipped before the expected one, the
+// peer is taken to send without end.
+constexpr unsigned kMaxSkippedAnswers = 16;
+
 /** Reads "timeout=5" out of a Keep-Alive value. */
 std::optional<Duration> KeepAliveTimeout(const std::string& aValue)
 {
@@ -61,6 +65,8 @@
   bool reading = false;
   bool writing = false;
   bool reusable = true;
+  /** Interim answers and those to other requests since the last Send(). */
+  unsigned skipped = 0;
   TimePoint idleSince;
   std::optional<Duration> keepAlive;
   OutgoingRequest request;
@@ -255,7 +261,7 @@
     while (!aBytes.empty()) {
       aBytes.remove_prefix(parser.Feed(aBytes));
       if (parser.Failure() != ParseFailure::kNone) {
-        Finish(ExchangeEnd::kMalformed, "bytes that are no answer");
+        OnParseFailure();
         return;
       }
       if (!parser.Whole()) {
@@ -265,11 +271,24 @@
         FinishAnswer(!aBytes.empty());
         return;
       }
+      if (++skipped > kMaxSkippedAnswers) {
+        Finish(ExchangeEnd::kMalformed, "too many answers to other requests");
+        return;
+      }
       SkipAnswer();
     }
     Read();
   }
 
+  void OnParseFailure()
+  {
+    if (parser.Failure() == ParseFailure::kNoMemory) {
+      Finish(ExchangeEnd::kLost, "no memory left for the answer");
+    } else {
+      Finish(ExchangeEnd::kMalformed, "bytes that are no answer");
+    }
+  }
+
   /** Drops an interim answer or one that belongs to an earlier request. */
   void SkipAnswer()
   {
@@ -327,6 +346,7 @@
   assert(impl_->reusable && !impl_->handler);
   impl_->request = std::move(aRequest);
   impl_->handler = std::move(aHandler);
+  impl_->skipped = 0;
   impl_->headBytes = RequestHeadBytes(
     impl_->request.head, impl_->request.body ? impl_->request.body->size() : 0);
   impl_->ExpectBody();
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -1,8 +1,10 @@
 #ifndef HTTP_HTTPMESSAGE_H
 #define HTTP_HTTPMESSAGE_H
 
+#include "core/BufferCharge.h"
 #include "http/HttpHead.h"
 
+#include <memory>
 #include <string>
 
 namespace lacewing {
@@ -12,6 +14,8 @@
 {
   HttpHead head;
   std::string body;
+  /** The body's share of ParserLimits::budget; null without one. */
+  std::shared_ptr<BufferCharge> charge = nullptr;
 };
 
 } // namespace lacewing
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -2,11 +2,21 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
 #include <utility>
 
 namespace lacewing {
 
+namespace {
+
+// A stated length is not trusted with more memory than this before its bytes
+// arrive.
+constexpr std::uint64_t kMaxReserved = 256U << 10U;
+
+} // namespace
+
 struct MessageParser::Impl
 {
   MessageSide side;
@@ -114,7 +124,8 @@
       return Refuse(ParseFailure::kBodyTooLarge);
     }
     if (sized && !noBody) {
-      message.body.reserve(parser.content_length);
+      message.body.reserve(
+        std::min<std::uint64_t>(parser.content_length, kMaxReserved));
     }
     return noBody ? 1 : 0;
   }
@@ -124,10 +135,22 @@
     if (message.body.size() + aCount > limits.maxBody.value()) {
       return Refuse(ParseFailure::kBodyTooLarge);
     }
+    if (limits.budget && !Charge(ByteCount(aCount))) {
+      return Refuse(ParseFailure::kNoMemory);
+    }
     message.body.append(aBytes, aCount);
     return 0;
   }
 
+  bool Charge(ByteCount aBytes)
+  {
+    if (message.charge) {
+      return message.charge->Grow(aBytes);
+    }
+    message.charge = BufferCharge::Make(limits.budget, aBytes);
+    return message.charge != nullptr;
+  }
+
   int OnWhole()
   {
     whole = true;
--- a/src/http/ParseFailure.h
+++ b/src/http/ParseFailure.h
@@ -10,6 +10,8 @@
   kMalformed,
   kHeadTooLarge,
   kBodyTooLarge,
+  /** The bodies of all messages together exceed ParserLimits::budget. */
+  kNoMemory,
 };
 
 } // namespace lacewing
--- a/src/http/SmallHttpServer.cpp
+++ b/src/http/SmallHttpServer.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr ParserLimits kLimits{ ByteCount(8U << 10U), ByteCount(64U << 10U) };
+const ParserLimits kLimits{ ByteCount(8U << 10U), ByteCount(64U << 10U) };
 // A peer or the platform asks every few seconds at least; others are dropped.
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 
--- a/src/net/HttpServerOptions.h
+++ b/src/net/HttpServerOptions.h
@@ -1,10 +1,10 @@
 #ifndef NET_HTTPSERVEROPTIONS_H
 #define NET_HTTPSERVEROPTIONS_H
 
+#include "core/ReadBudget.h"
 #include "lacewing/ByteCount.h"
 #include "lacewing/Endpoint.h"
 #include "net/HttpResponse.h"
-#include "net/ReadBudget.h"
 
 #include <chrono>
 #include <cstddef>
--- a/src/net/ReadMeterPriv.h
+++ b/src/net/ReadMeterPriv.h
@@ -1,7 +1,7 @@
 #ifndef NET_READMETERPRIV_H
 #define NET_READMETERPRIV_H
 
-#include "net/ReadBudget.h"
+#include "core/ReadBudget.h"
 
 #include <memory>
 #include <string>
--- a/tests/support/TestGateway.h
+++ b/tests/support/TestGateway.h
@@ -30,10 +30,19 @@
     Configure(aTargets, aTimeout, aColdQuota);
   }
 
+  /** With a target that is no GatewayTarget; bodies may take aMaxBuffered. */
+  explicit TestGateway(const Endpoint& aTarget,
+                       ByteCount aMaxBuffered = GatewayOptions().maxBuffered)
+    : TestGateway(aMaxBuffered)
+  {
+    ConfigureEndpoints({ aTarget });
+  }
+
   /** A gateway on a host that has received no configuration yet. */
-  TestGateway()
+  explicit TestGateway(ByteCount aMaxBuffered = GatewayOptions().maxBuffered)
   {
     GatewayOptions options;
+    options.maxBuffered = aMaxBuffered;
     options.front = { "127.0.0.1", 0 };
     options.names = Names();
     options.retries = { 0.2, std::chrono::seconds(10), 100 };
@@ -44,6 +53,17 @@
   void Configure(const std::vector<const GatewayTarget*>& aTargets,
                  Duration aTimeout = std::chrono::seconds(2),
                  unsigned aColdQuota = 0)
+  {
+    std::vector<Endpoint> endpoints;
+    for (const GatewayTarget* target : aTargets) {
+      endpoints.push_back(target->Address());
+    }
+    ConfigureEndpoints(endpoints, aTimeout, aColdQuota);
+  }
+
+  void ConfigureEndpoints(const std::vector<Endpoint>& aTargets,
+                          Duration aTimeout = std::chrono::seconds(2),
+                          unsigned aColdQuota = 0)
   {
     CallerLimits limits;
     limits.maxHead = ByteCount(4096);
@@ -64,7 +84,7 @@
       FleetTarget target;
       target.spec.id = TargetId("t" + std::to_string(i));
       target.spec.service = service.id;
-      target.spec.endpoint = aTargets[i]->Address();
+      target.spec.endpoint = aTargets[i];
       target.spec.slots = SlotCount(6);
       target.local = true;
       target.coldQuota = aColdQuota;
