Judge targets that report no load by this host's own requests

Cause: a missing load report was decoded as an idle target at its usual speed, so that each request probed two targets for nothing, all requests of a host went to the targets it was connected to, and a hedge waited for 1.8 times the usual time.

Change: absence is a state of LoadReading. ObservedSlowdown estimates such a target from the latency of this host's responses and from overdue requests; the estimate ranks and hedges, and refuses nothing. One probe a request; open connections no longer count.

--- a/src/balance/Choice.h
+++ b/src/balance/Choice.h
@@ -20,6 +20,8 @@
   unsigned busy = 0;
   /** How long requests take at the target; 100 is its usual time. */
   unsigned slowdownPercent = 100;
+  /** Whether busy and slowdownPercent are the target's own figures. */
+  bool loadReported = false;
   /** The target is not known to be warm. */
   bool cold = false;
 };
--- a/src/balance/LoadReading.h
+++ b/src/balance/LoadReading.h
@@ -6,6 +6,8 @@
 #include "lacewing/Clock.h"
 #include "lacewing/TargetId.h"
 
+#include <optional>
+
 namespace lacewing {
 
 /** The last known health and load of a target. */
@@ -13,7 +15,8 @@
 {
   TargetId target;
   ReadingState state = ReadingState::kUnresponsive;
-  TargetLoad load;
+  /** Empty if the target does not report its load. */
+  std::optional<TargetLoad> load;
   /** How much longer the target stays cold, as of probedAt; zero if warm. */
   Duration coldLeft{ 0 };
   /** When the target reported its load, on this host's clock. */
--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -27,6 +27,11 @@
 // slots is taken.
 constexpr double kNearlyFull = 0.8;
 constexpr double kNearlyFullFactor = 1.7;
+// Load that fits the slots matters little, but breaks ties in favour of idle
+// targets. The requests of this host at a target that does not report its load
+// stand for those of all hosts, so they count more.
+constexpr double kOccupancyPrice = 0.1;
+constexpr double kUnreportedOccupancyPrice = 1;
 // Penalties that leave a refusing or unresponsive target to be tried only if
 // all others are worse.
 constexpr double kRefusingSeconds = 1.5;
@@ -52,7 +57,7 @@
 /** Returns the number of requests at the target; see Choice::busy. */
 unsigned BusyAt(const Candidate& aCandidate, const LoadReading& aReading)
 {
-  const unsigned reported = aReading.load.running + aReading.load.waiting;
+  const unsigned reported = aReading.load->running + aReading.load->waiting;
   return std::max(reported + aCandidate.local->SentSince(aReading.measuredAt),
                   aCandidate.local->InFlight());
 }
@@ -92,33 +97,44 @@
   const double work = Seconds(aContext.usualServiceTime);
   Choice choice;
   choice.cold = !warm;
+  const bool unreported =
+    reading && !reading->load && reading->state == ReadingState::kServing;
   double factor = 1;
   choice.busy = aCandidate.local->InFlight();
+  double busy = choice.busy;
   double penalty = 0;
   if (reading) {
     choice.readingAge = aContext.now - reading->measuredAt;
-    choice.busy = BusyAt(aCandidate, *reading);
-    choice.slowdownPercent = reading->load.slowdownPercent;
-    factor = SlowdownFactor(reading->load, Seconds(choice.readingAge));
     penalty += reading->state == ReadingState::kRefusing ? kRefusingSeconds : 0;
     penalty +=
       reading->state == ReadingState::kUnresponsive ? kUnresponsiveSeconds : 0;
   }
-  const double busy = ExpectedBusy(choice, slots);
+  if (reading && reading->load) {
+    choice.loadReported = true;
+    choice.busy = BusyAt(aCandidate, *reading);
+    choice.slowdownPercent = reading->load->slowdownPercent;
+    factor = SlowdownFactor(*reading->load, Seconds(choice.readingAge));
+    busy = ExpectedBusy(choice, slots);
+  } else if (unreported) {
+    choice.slowdownPercent = aCandidate.local->Slowdown().PercentAt(
+      aContext.now, aContext.usualServiceTime);
+    factor = std::max(1.0, choice.slowdownPercent / 100.0);
+  }
   if (busy + 1 > slots * kNearlyFull) {
     factor *= kNearlyFullFactor;
   }
   const double queued = std::max(0.0, busy + 1 - slots);
   penalty += queued * work * factor / slots;
   penalty += kFailureSeconds * aCandidate.local->FailureShare(aContext.now);
-  penalty += aCandidate.connected ? 0 : kConnectSeconds;
+  // Without reports, all requests of this host would go to the targets that it
+  // is connected to.
+  penalty += aCandidate.connected || unreported ? 0 : kConnectSeconds;
   if (!aCandidate.target->local) {
     penalty += kZoneSeconds + kZoneSecondsPerByte *
                                 static_cast<double>(aContext.bytes.value());
   }
-  // Load that fits the slots matters little, but breaks ties in favour of idle
-  // targets.
-  penalty += 0.1 * work * std::min(1.0, busy / slots);
+  penalty += (unreported ? kUnreportedOccupancyPrice : kOccupancyPrice) * work *
+             std::min(1.0, busy / slots);
   const double speed = warm ? 1 : kColdFactor;
   choice.expected = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(work * factor * speed + penalty));
--- a/src/balance/TargetObservations.cpp
+++ b/src/balance/TargetObservations.cpp
@@ -26,6 +26,7 @@
 void TargetObservations::OnSent(TimePoint aNow)
 {
   ++inFlight_;
+  slowdown_.OnSent(aNow);
   sent_.erase(sent_.begin(),
               std::find_if(sent_.begin(), sent_.end(), [aNow](TimePoint aSent) {
                 return aSent + kSentRetention >= aNow;
@@ -33,9 +34,10 @@
   sent_.push_back(aNow);
 }
 
-void TargetObservations::OnEnded()
+void TargetObservations::OnEnded(TimePoint aSentAt)
 {
   --inFlight_;
+  slowdown_.OnEnded(aSentAt);
 }
 
 void TargetObservations::OnLoad(TimePoint aNow, const TargetLoad& aLoad)
@@ -59,9 +61,10 @@
   failures_.Add(aNow, aWeight, kMaxCount);
 }
 
-void TargetObservations::OnSuccess(TimePoint aNow)
+void TargetObservations::OnSuccess(TimePoint aNow, double aFactor)
 {
   successes_.Add(aNow, 1, kMaxCount);
+  slowdown_.OnResponse(aNow, aFactor);
 }
 
 double TargetObservations::FailureShare(TimePoint aNow) const
--- a/src/balance/TargetObservations.h
+++ b/src/balance/TargetObservations.h
@@ -2,6 +2,7 @@
 #define BALANCE_TARGETOBSERVATIONS_H
 
 #include "balance/LoadReading.h"
+#include "balance/ObservedSlowdown.h"
 #include "decision/DecayingValue.h"
 #include "lacewing/Clock.h"
 
@@ -18,8 +19,8 @@
 
   /** An attempt was sent to the target. */
   void OnSent(TimePoint aNow);
-  /** An attempt ended, whatever its result. */
-  void OnEnded();
+  /** The attempt sent at aSentAt ended, whatever its result. */
+  void OnEnded(TimePoint aSentAt);
 
   /** A response reported the target's load. */
   void OnLoad(TimePoint aNow, const TargetLoad& aLoad);
@@ -32,11 +33,15 @@
 
   /** A request failed at the target; aWeight is 1 for a full failure. */
   void OnFailure(TimePoint aNow, double aWeight);
-  void OnSuccess(TimePoint aNow);
+  /** A response took aFactor times the usual service time. */
+  void OnSuccess(TimePoint aNow, double aFactor);
 
   unsigned InFlight() const { return inFlight_; }
   TimePoint LastConnectionFailure() const { return lastConnectionFailure_; }
 
+  /** How slow the target is, judged by this host's own requests. */
+  const ObservedSlowdown& Slowdown() const { return slowdown_; }
+
   /** Share of recent requests that failed, 0 to 1; older ones count less. */
   double FailureShare(TimePoint aNow) const;
 
@@ -58,6 +63,7 @@
   DecayingValue failures_;
   DecayingValue successes_;
   LoadReading own_;
+  ObservedSlowdown slowdown_;
   /** Send times of recent attempts, the newest last. */
   std::vector<TimePoint> sent_;
 };
--- a/src/fleet/WireReading.h
+++ b/src/fleet/WireReading.h
@@ -19,6 +19,7 @@
   std::uint32_t state = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /** Zero if the target does not report its load. */
   std::uint32_t slots = 0;
   std::uint32_t slowdownPercent = 0;
   Duration coldLeft{ 0 };
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -126,7 +126,7 @@
   const auto load = state_.Load();
   const LoadReading* reading = load->Find(aAttempt.target.id);
   return reading == nullptr || reading->state != ReadingState::kServing ||
-         IsLikelyStuck(reading->load.slowdownPercent);
+         !reading->load || IsLikelyStuck(reading->load->slowdownPercent);
 }
 
 void Exchange::OnHedge(bool aLast)
@@ -366,7 +366,6 @@
   if (done_) {
     return;
   }
-  done_ = true;
   if (aResponse.head.status / 100 == 2) {
     ++state_.Counters().succeeded;
   }
@@ -390,6 +389,7 @@
   if (!attempts_.empty() && RunsAtMostOnce(route_->requestClass)) {
     return;
   }
+  LogEnd(Trace(), 0, "caller-gone");
   const auto self = shared_from_this();
   End();
 }
@@ -397,12 +397,10 @@
 void Exchange::End()
 {
   done_ = true;
-  done_ = true;
-  LogEnd(Trace(), 0, "caller-gone");
   deadlineTimer_.cancel();
-  state_.Open().Remove(this);
   stepTimer_.cancel();
   CancelAttempts();
+  state_.Open().Remove(this);
 }
 
 RequestTrace Exchange::Trace() const
@@ -420,7 +418,7 @@
 void Exchange::CancelAttempts()
 {
   for (Attempt& attempt : attempts_) {
-    state_.ViewOf(attempt.target.id).OnEnded();
+    state_.ViewOf(attempt.target.id).OnEnded(attempt.sentAt);
     LogCancelled(state_, id_, attempt);
   }
   attempts_.clear();
--- a/src/gateway/ProbeReading.cpp
+++ b/src/gateway/ProbeReading.cpp
@@ -38,14 +38,20 @@
   reading.state = aResult.answer.head.status == kHealthy
                     ? ReadingState::kServing
                     : ReadingState::kRefusing;
-  const std::string* load = fields.Find(aNames.load);
-  if (load != nullptr && aNames.parseLoad != nullptr) {
-    reading.load = aNames.parseLoad(*load).value_or(TargetLoad());
-  }
+  reading.load = ReadLoad(aResult.answer.head, aNames);
   reading.coldLeft = ReadColdLeft(fields.Find(aNames.coldLeft));
   return reading;
 }
 
+std::optional<TargetLoad> ReadLoad(const HttpHead& aResponse,
+                                   const HeaderNames& aNames)
+{
+  const std::string* load = aResponse.fields.Find(aNames.load);
+  return load == nullptr || aNames.parseLoad == nullptr
+           ? std::nullopt
+           : aNames.parseLoad(*load);
+}
+
 HttpHead ProbeHead(const std::string& aHealthPath, const Endpoint& aTarget)
 {
   HttpHead head;
--- a/src/gateway/ProbeReading.h
+++ b/src/gateway/ProbeReading.h
@@ -6,6 +6,8 @@
 #include "http/ExchangeResult.h"
 #include "lacewing/Endpoint.h"
 
+#include <optional>
+
 namespace lacewing {
 
 /** The reading from an ended probe; kUnresponsive when there was no response.
@@ -15,6 +17,10 @@
                       const TargetId& aTarget,
                       TimePoint aNow);
 
+/** The load that the response reports; empty if it reports none. */
+std::optional<TargetLoad> ReadLoad(const HttpHead& aResponse,
+                                   const HeaderNames& aNames);
+
 /** The head of a request that probes a target for its health and load. */
 HttpHead ProbeHead(const std::string& aHealthPath, const Endpoint& aTarget);
 
--- a/src/gateway/RecordAttempt.cpp
+++ b/src/gateway/RecordAttempt.cpp
@@ -1,7 +1,19 @@
 #include "gateway/RecordAttempt.h"
 
+#include "gateway/ProbeReading.h"
+
 namespace lacewing {
 
+namespace {
+
+double Ratio(Duration aDuration, Duration aReference)
+{
+  return std::chrono::duration<double>(aDuration) /
+         std::chrono::duration<double>(aReference);
+}
+
+} // namespace
+
 void RecordAttempt(TrafficState& aState,
                    const RouteSpec& aRoute,
                    const Attempt& aAttempt,
@@ -11,21 +23,23 @@
   const TimePoint now = aState.Now();
   const HeaderNames& names = aState.Names();
   TargetObservations& view = aState.ViewOf(aAttempt.target.id);
-  view.OnEnded();
-  const std::string* load = aResult.answer.head.fields.Find(names.load);
-  if (load != nullptr && names.parseLoad != nullptr) {
-    if (const auto parsed = names.parseLoad(*load)) {
-      view.OnLoad(now, *parsed);
-    }
+  view.OnEnded(aAttempt.sentAt);
+  const auto load = ReadLoad(aResult.answer.head, names);
+  if (load) {
+    view.OnLoad(now, *load);
   }
   switch (aEnd) {
-    case AttemptResult::kSuccess:
-      view.OnSuccess(now);
-      aState.StatisticsOf(aRoute).OnResponse(
-        now - aAttempt.sentAt,
-        aAttempt.choice.slowdownPercent,
+    case AttemptResult::kSuccess: {
+      RouteStatistics& statistics = aState.StatisticsOf(aRoute);
+      const Duration latency = now - aAttempt.sentAt;
+      view.OnSuccess(now, Ratio(latency, statistics.TypicalServiceTime()));
+      statistics.OnResponse(
+        latency,
+        load ? std::optional<unsigned>(aAttempt.choice.slowdownPercent)
+             : std::nullopt,
         ByteCount(aResult.answer.body.size()));
       break;
+    }
     case AttemptResult::kNotRun:
     case AttemptResult::kTargetFailure:
       view.OnFailure(now, 1);
--- a/src/gateway/RouteStatistics.cpp
+++ b/src/gateway/RouteStatistics.cpp
@@ -9,6 +9,9 @@
 // Each response has the weight 1/20: about the last twenty determine the
 // average.
 constexpr int kAveragedResponses = 20;
+// A longer latency of a target that does not report its load may be due to a
+// slow or full target, so it changes the average less.
+constexpr int kAveragedIfSlowed = 80;
 // Until responses arrive, the service time is taken as this share of the
 // latency objective.
 constexpr double kInitialShare = 0.4;
@@ -22,12 +25,14 @@
 }
 
 void RouteStatistics::OnResponse(Duration aLatency,
-                                 unsigned aSlowdownPercent,
+                                 std::optional<unsigned> aSlowdownPercent,
                                  ByteCount aBytes)
 {
   const Duration serviceTime =
-    aLatency * 100 / std::max(aSlowdownPercent, 100U);
-  serviceTime_ += (serviceTime - serviceTime_) / kAveragedResponses;
+    aLatency * 100 / std::max(aSlowdownPercent.value_or(100), 100U);
+  const bool mayBeSlowed = !aSlowdownPercent && serviceTime > serviceTime_;
+  serviceTime_ += (serviceTime - serviceTime_) /
+                  (mayBeSlowed ? kAveragedIfSlowed : kAveragedResponses);
   const std::int64_t change = static_cast<std::int64_t>(aBytes.value()) -
                               static_cast<std::int64_t>(responseBytes_);
   responseBytes_ = static_cast<std::uint64_t>(
--- a/src/gateway/RouteStatistics.h
+++ b/src/gateway/RouteStatistics.h
@@ -5,6 +5,8 @@
 #include "lacewing/ByteCount.h"
 #include "lacewing/Clock.h"
 
+#include <optional>
+
 namespace lacewing {
 
 /** Moving averages of a route's service time and response size. */
@@ -15,10 +17,11 @@
 
   /**
    * Records a successful response that arrived after aLatency from a target
-   * that needs aSlowdownPercent of its usual time.
+   * that needs aSlowdownPercent of its usual time; empty if the target does not
+   * report it.
    */
   void OnResponse(Duration aLatency,
-                  unsigned aSlowdownPercent,
+                  std::optional<unsigned> aSlowdownPercent,
                   ByteCount aBytes);
 
   Duration TypicalServiceTime() const { return serviceTime_; }
--- a/src/gateway/TargetSearch.cpp
+++ b/src/gateway/TargetSearch.cpp
@@ -87,7 +87,7 @@
     return;
   }
   const bool first = rounds_++ == 0;
-  ProbeNext(first ? kFirstRoundProbes : kLaterRoundProbes,
+  ProbeNext(first ? FirstRoundProbes() : kLaterRoundProbes,
             &TargetSearch::IsAny);
   if (!first) {
     ProbeNext(kLaterRoundRemoteProbes, &TargetSearch::IsInRemoteZone);
@@ -95,6 +95,17 @@
   ArmTimer();
 }
 
+std::size_t TargetSearch::FirstRoundProbes()
+{
+  const auto load = state_.Load();
+  const FleetTarget& best = *ranked_.front();
+  const auto reading =
+    state_.ViewOf(best.spec.id).NewestReading(load->Find(best.spec.id));
+  reportsLoad_ =
+    !reading || reading->load || reading->state != ReadingState::kServing;
+  return reportsLoad_ ? kFirstRoundProbes : 1;
+}
+
 void TargetSearch::ProbeNext(std::size_t aCount,
                              bool (*aFits)(const FleetTarget&))
 {
@@ -228,7 +239,11 @@
       bestChoice = choice;
     }
   }
-  state_.PressureOf(service_).OnNoGoodTarget(context_.now);
+  // Without reports a slowdown is known from earlier requests only and may have
+  // ended, so it is no reason to refuse requests.
+  if (reportsLoad_) {
+    state_.PressureOf(service_).OnNoGoodTarget(context_.now);
+  }
   if (best != nullptr) {
     Take(*best);
     return;
@@ -257,6 +272,7 @@
     waiting |= !probe->completed;
   }
   if (waiting) {
+    state_.Open().Add(shared_from_this());
     timer_.expires_after(kLateResponseTime);
     timer_.async_wait(
       [self = weak_from_this()](const asio::error_code& aError) {
@@ -273,7 +289,6 @@
   const TimePoint now = state_.Now();
   for (const auto& probe : probes_) {
     if (!probe->completed) {
-    state_.Open().Add(shared_from_this());
       LoadReading unresponsive;
       unresponsive.target = probe->target.spec.id;
       unresponsive.measuredAt = unresponsive.probedAt = now;
@@ -282,6 +297,7 @@
     }
   }
   probes_.clear();
+  state_.Open().Remove(this);
 }
 
 void TargetSearch::Finish(std::optional<FoundTarget> aFound)
@@ -297,7 +313,6 @@
   handler_ = nullptr;
   if (!done_) {
     End();
-  state_.Open().Remove(this);
   }
 }
 
--- a/src/gateway/TargetSearch.h
+++ b/src/gateway/TargetSearch.h
@@ -60,6 +60,8 @@
                           const LoadSnapshot& aLoad);
   /** Probes the aCount best candidates that fit and were not probed yet. */
   void ProbeNext(std::size_t aCount, bool (*aFits)(const FleetTarget&));
+  /** A single probe if the best candidate's response would report no load. */
+  std::size_t FirstRoundProbes();
   void SendProbe(const FleetTarget& aTarget);
   void ArmTimer();
   void OnProbeEnded(Probe& aProbe, const ExchangeResult& aResult);
@@ -94,6 +96,8 @@
   unsigned rounds_ = 0;
   unsigned maxRounds_;
   std::string healthPath_;
+  /** False once a target of the service was seen to report no load. */
+  bool reportsLoad_ = true;
   std::vector<std::unique_ptr<Probe>> probes_;
   bool done_ = false;
 };
--- a/tests/BalanceTest.cpp
+++ b/tests/BalanceTest.cpp
@@ -39,6 +39,7 @@
   {
     target.spec.slots = SlotCount(3);
     reading.state = ReadingState::kServing;
+    reading.load = TargetLoad();
     reading.measuredAt = reading.probedAt = clock.Now();
     clock.Advance(std::chrono::milliseconds(1));
   }
@@ -259,7 +260,7 @@
 {
   CandidateFixture failing;
   CandidateFixture busy;
-  busy.reading.load.running = 2;
+  busy.reading.load->running = 2;
   for (int i = 0; i < 3; ++i) {
     failing.local.OnFailure(failing.clock.Now(), 1);
   }
@@ -293,3 +294,73 @@
   CHECK_FALSE(IsLikelyStuck(100));
   CHECK(IsLikelyStuck(400));
 }
+
+// Guards against taking a missing load report for an idle target at its usual
+// speed: one that is slow or busy with this host's requests ranked like others.
+TEST_CASE("balance: a target without a load report is judged by own requests")
+{
+  CandidateFixture busy;
+  CandidateFixture slow;
+  CandidateFixture idle;
+  for (CandidateFixture* each : { &busy, &slow, &idle }) {
+    each->reading.load.reset();
+  }
+  ChoiceContext context;
+  context.now = idle.clock.Now();
+  busy.local.OnSent(context.now);
+  busy.local.OnSent(context.now);
+  slow.local.OnSuccess(context.now, 4);
+  const auto chooser = MakeEarliestResponseChooser(kSeed);
+  for (int i = 0; i < 50; ++i) {
+    const auto ranked =
+      chooser->Rank(context, { busy.Get(), slow.Get(), idle.Get() });
+    REQUIRE(ranked.size() == 3);
+    CHECK(ranked.front().index == 2);
+    CHECK_FALSE(ranked.front().loadReported);
+  }
+}
+
+// Guards against sending all requests of a host to the targets that it is
+// connected to, whose load it cannot see.
+TEST_CASE("balance: requests spread over targets that report no load")
+{
+  CandidateFixture connected;
+  CandidateFixture other;
+  connected.reading.load.reset();
+  other.reading.load.reset();
+  ChoiceContext context;
+  context.now = other.clock.Now();
+  Candidate unconnected = other.Get();
+  unconnected.connected = false;
+  const auto chooser = MakeEarliestResponseChooser(kSeed);
+  int others = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto ranked =
+      chooser->Rank(context, { connected.Get(), unconnected });
+    others += ranked.front().index == 1 ? 1 : 0;
+  }
+  CHECK(others > 25);
+  CHECK(others < 75);
+}
+
+// Guards against avoiding a target for good after a slow phase, and against
+// waiting for a stalled response before the target counts as slow.
+TEST_CASE("balance: an observed slowdown follows the target")
+{
+  const Duration usual = std::chrono::milliseconds(200);
+  ManualClock clock;
+  ObservedSlowdown slowdown;
+  CHECK(slowdown.PercentAt(clock.Now(), usual) == 100);
+  slowdown.OnResponse(clock.Now(), 4);
+  CHECK(slowdown.PercentAt(clock.Now(), usual) > 200);
+  clock.Advance(std::chrono::seconds(10));
+  CHECK(slowdown.PercentAt(clock.Now(), usual) <= 102);
+  const TimePoint sent = clock.Now();
+  slowdown.OnSent(sent);
+  clock.Advance(std::chrono::milliseconds(250));
+  CHECK(slowdown.PercentAt(clock.Now(), usual) <= 102);
+  clock.Advance(std::chrono::milliseconds(350));
+  CHECK(slowdown.PercentAt(clock.Now(), usual) >= 300);
+  slowdown.OnEnded(sent);
+  CHECK(slowdown.PercentAt(clock.Now(), usual) <= 102);
+}
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -53,6 +53,8 @@
   CHECK(decoded.value().revisions == heartbeat.revisions);
   CHECK(decoded.value().members.at(0).host == HostId("h2"));
   CHECK(decoded.value().readings.at(0).slowdownPercent == 400);
+  // The reading states no slots, so the target reports no load.
+  CHECK_FALSE(decoded.value().readings.at(0).ToReading(TimePoint()).load);
   CHECK(decoded.value().zones.at(0).alive == 4);
   CHECK(decoded.value().readings.at(0).coldLeft ==
         std::chrono::milliseconds(1500));
--- a/tests/GatewayRetryTest.cpp
+++ b/tests/GatewayRetryTest.cpp
@@ -161,3 +161,24 @@
   CHECK(counters.callerDisconnects == 1);
   CHECK(counters.succeeded == 0);
 }
+
+// Guards against probing several targets for a load that they do not report.
+TEST_CASE("gateway: one probe a request where targets report no load")
+{
+  const auto respond = [](const std::string& aId, int) {
+    return SignedResponse(aId, "ok");
+  };
+  GatewayTarget first(respond);
+  GatewayTarget second(respond);
+  first.reportsLoad = false;
+  second.reportsLoad = false;
+  TestGateway gateway({ &first, &second });
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(StatusOf(gateway.Call("GET", "/safe/x", "r" + std::to_string(i))) ==
+          200);
+  }
+  // The first searches do not know yet that the targets report no load.
+  CHECK(gateway.Counters().probes <= kRequests + 4);
+  CHECK(first.Runs() + second.Runs() == kRequests);
+}
--- a/tests/support/GatewayTarget.h
+++ b/tests/support/GatewayTarget.h
@@ -35,6 +35,8 @@
   std::atomic<int> coldMs{ 0 };
   /** Slowdown that probes report; 100 is the usual speed. */
   std::atomic<int> slowdownPercent{ 100 };
+  /** Whether probes are answered with the load. */
+  std::atomic<bool> reportsLoad{ true };
   /** HTTP status of the responses to probes. */
   std::atomic<int> healthStatus{ 200 };
 
@@ -62,9 +64,11 @@
   {
     if (aHead.rfind("GET /health ", 0) == 0) {
       return "HTTP/1.1 " + std::to_string(healthStatus) +
-             " Health\r\nContent-Length: 0\r\nTest-Load: 0,0,6," +
-             std::to_string(slowdownPercent) +
-             "\r\nTest-Cold: " + std::to_string(coldMs) + "\r\n\r\n";
+             " Health\r\nContent-Length: 0\r\n" +
+             (reportsLoad
+                ? "Test-Load: 0,0,6," + std::to_string(slowdownPercent) + "\r\n"
+                : std::string()) +
+             "Test-Cold: " + std::to_string(coldMs) + "\r\n\r\n";
     }
     {
       const std::lock_guard<std::mutex> lock(mutex_);
