--- a/tests/concurrent/EntryWorkersTest.cpp
+++ b/tests/concurrent/EntryWorkersTest.cpp
@@ -78,9 +78,10 @@
   TestTarget first(&Echo);
   TestTarget second(&Echo);
   const MonotonicClock clock;
-  std::vector<std::unique_ptr<TrafficWorker>> workers;
+  // Workers report until they are destroyed, so the reports outlive them.
   std::mutex mutex;
   std::vector<WorkerReport> reports(kWorkers);
+  std::vector<std::unique_ptr<TrafficWorker>> workers;
   WorkerOptions options;
   options.callers = { "127.0.0.1", 0 };
   for (std::uint32_t i = 0; i < kWorkers; ++i) {
