Hold the answers of the graceful stop's test until all requests are open

Change: the target holds all answers; the stop begins once all 20 requests are open there, and none may end before the answers are sent 250 ms later. That is stricter: before, requests could have been answered before the stop.

--- a/tests/EntryFailureTest.cpp
+++ b/tests/EntryFailureTest.cpp
@@ -315,25 +315,21 @@
 // against work that is accepted after it.
 TEST_CASE("a graceful stop answers every open request")
 {
-  std::unique_ptr<TestTarget> target;
-  target = std::make_unique<TestTarget>(
+  constexpr int kRequests = 20;
+  std::vector<std::shared_ptr<HttpResponder>> held;
+  std::atomic<int> arrived{ 0 };
+  TestTarget target(
     [&](const HttpRequest&, std::shared_ptr<HttpResponder> aTo) {
-      auto timer = std::make_shared<asio::steady_timer>(
-        target->Context(), std::chrono::milliseconds(400));
-      timer->async_wait([timer, to = std::move(aTo)](const asio::error_code&) {
-        HttpResponse response;
-        response.body.assign(2U << 20U, 'r');
-        to->Send(std::move(response));
-      });
+      held.push_back(std::move(aTo));
+      ++arrived;
     });
-  EntrySettings settings = StaticSettings({ target->Address() });
+  EntrySettings settings = StaticSettings({ target.Address() });
   settings.workers = 2;
   settings.drainDelay = std::chrono::milliseconds(100);
   TestEntry entry(settings);
   TestCaller caller;
   int whole = 0;
   int done = 0;
-  constexpr int kRequests = 20;
   for (int i = 0; i < kRequests; ++i) {
     caller.Client().Start(
       MakeCall(entry, "POST"), [&](const HttpCallResult& aResult) {
@@ -344,13 +340,30 @@
                    : 0;
       });
   }
-  caller.Context().run_for(std::chrono::milliseconds(150));
-  CHECK(target->Runs() == kRequests);
+  const auto run = [&](std::chrono::milliseconds aFor) {
+    caller.Context().restart();
+    caller.Context().run_for(aFor);
+  };
+  // All requests are open at the target when the stop begins.
+  for (int i = 0; i < 200 && arrived < kRequests; ++i) {
+    run(std::chrono::milliseconds(10));
+  }
+  REQUIRE(arrived == kRequests);
   entry.BeginStop();
+  run(std::chrono::milliseconds(250));
+  CHECK(done == 0);
+  asio::post(target.Context(), [&held] {
+    for (const auto& responder : held) {
+      HttpResponse response;
+      response.body.assign(2U << 20U, 'r');
+      responder->Send(std::move(response));
+    }
+    held.clear();
+  });
   for (int i = 0; i < 500 && done < kRequests; ++i) {
-    caller.Context().restart();
-    caller.Context().run_for(std::chrono::milliseconds(10));
+    run(std::chrono::milliseconds(10));
   }
   CHECK(whole == kRequests);
+  CHECK(target.Runs() == kRequests);
   CHECK(entry.Stop());
 }
