Elect watchers 2 s after the first start of a deployment

Cause: some hosts of zones without a seed hear nobody in the first 600 ms of a first start; 18 of 472 took the watch role and listed the store.

Change: at the first start all hosts wait 2 s with the election.

FleetControlTest: no watch in the first 1.5 s of a first start (before: after 400 ms).

--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -93,7 +93,9 @@
                 [this](const std::vector<PeerAddress>& aHosts) {
                   peers->Learn(aHosts);
                 })
-    , election(aClock, { aIdentity.self.host, aIdentity.self.zone })
+    , election(aClock,
+               { aIdentity.self.host, aIdentity.self.zone },
+               aOptions.firstStart)
     , firstReadDelay(aOptions.firstStart ? kFirstStartReadDelay
                                          : kFirstReadDelay)
     , startedAt(aClock.Now())
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -15,7 +15,8 @@
 // highest of a large zone and watch the store needlessly.
 constexpr Duration kPeerWait = std::chrono::milliseconds(200);
 constexpr Duration kSettleTime = std::chrono::milliseconds(400);
-// Joins of later hosts no longer hold up the election then.
+// Joins of later hosts no longer hold up the election then. At the first start
+// of a deployment all hosts wait this long, since some hear nobody for a while.
 constexpr Duration kMaxWait = std::chrono::milliseconds(2000);
 // A host that could not reach the store is not chosen again to watch it for
 // this long, unless no host can reach it.
@@ -23,9 +24,12 @@
 
 } // namespace
 
-WatchElection::WatchElection(const Clock& aClock, const OwnerCandidate& aSelf)
+WatchElection::WatchElection(const Clock& aClock,
+                             const OwnerCandidate& aSelf,
+                             bool aFirstStart)
   : clock_(aClock)
   , self_(aSelf)
+  , firstStart_(aFirstStart)
   , startedAt_(aClock.Now())
 {
 }
@@ -33,6 +37,9 @@
 bool WatchElection::Update(const PeerExchange& aPeers, bool aLeaving)
 {
   const TimePoint now = clock_.Now();
+  if (firstStart_ && now < startedAt_ + kMaxWait) {
+    return false;
+  }
   const TimePoint heard = startedAt_ + aPeers.HeartbeatPeriod() + kPeerWait;
   const TimePoint settled =
     std::max(aPeers.LastJoin(), startedAt_) + kSettleTime;
--- a/src/fleet/WatchElection.h
+++ b/src/fleet/WatchElection.h
@@ -14,7 +14,10 @@
 class WatchElection
 {
 public:
-  WatchElection(const Clock& aClock, const OwnerCandidate& aSelf);
+  /** aFirstStart: see FleetOptions::firstStart. */
+  WatchElection(const Clock& aClock,
+                const OwnerCandidate& aSelf,
+                bool aFirstStart);
 
   /** Decides again. Returns whether the role has changed. */
   bool Update(const PeerExchange& aPeers, bool aLeaving);
@@ -31,6 +34,7 @@
 
   const Clock& clock_;
   const OwnerCandidate self_;
+  const bool firstStart_;
   const TimePoint startedAt_;
   TimePoint storeRetryAt_;
   WatchRole role_ = WatchRole::kNone;
--- a/tests/FleetControlTest.cpp
+++ b/tests/FleetControlTest.cpp
@@ -145,10 +145,12 @@
   FleetOptions firstStart;
   firstStart.firstStart = true;
   StartingHost first(firstStart);
-  first.RunFor(std::chrono::milliseconds(500));
+  first.RunFor(std::chrono::milliseconds(1500));
   CHECK(first.source.reads == 0);
-  first.RunFor(std::chrono::milliseconds(3000));
+  CHECK(first.source.watches == 0);
+  first.RunFor(std::chrono::milliseconds(2000));
   CHECK(first.source.reads == 1);
+  CHECK(first.source.watches == 1);
   StartingHost later;
   later.RunFor(std::chrono::milliseconds(200));
   CHECK(later.source.reads == 1);
