Gather the decisions on waiting and refusing in src/admission

Cause: when a request waits, what a target must offer under pressure and when a refused caller comes back stood between timers and connections in Exchange.

Change: RequiredQuality, MayWait and RetryAfter are pure functions, and Pressure moves to them; each header names the load pattern it answers. Behaviour is as before.

Ruled out: a Retry-After that spreads callers between a fifth of the objective and the last moment that still allows a response in time, urgent ones first.

--- a/src/balance/Pressure.cpp
+++ b/src/admission/Pressure.cpp
@@ -1,4 +1,4 @@
-#include "balance/Pressure.h"
+#include "admission/Pressure.h"
 
 namespace lacewing {
 
--- a/src/balance/Pressure.h
+++ b/src/admission/Pressure.h
@@ -1,5 +1,5 @@
-#ifndef BALANCE_PRESSURE_H
-#define BALANCE_PRESSURE_H
+#ifndef ADMISSION_PRESSURE_H
+#define ADMISSION_PRESSURE_H
 
 #include "decision/DecayingValue.h"
 #include "lacewing/Clock.h"
@@ -31,4 +31,4 @@
 
 } // namespace lacewing
 
-#endif // BALANCE_PRESSURE_H
+#endif // ADMISSION_PRESSURE_H
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -1,5 +1,8 @@
 #include "gateway/Exchange.h"
 
+#include "admission/RequiredQuality.h"
+#include "admission/RetryAfter.h"
+#include "admission/WaitLimit.h"
 #include "balance/HedgeRule.h"
 #include "balance/RetryRule.h"
 #include "gateway/LocalResponseCount.h"
@@ -18,20 +21,12 @@
 // Limit of the attempts of one request, each at another target. Only attempts
 // that sent no byte may exceed the route's maxAttempts.
 constexpr unsigned kMaxTargetsTried = 6;
-// A request waits for a free target for the route's latency objective divided
-// by this; a request that waits more than an eighth counts as delayed.
-constexpr int kWaitDivisor = 8;
 // How long a request waits for the first configuration; a starting host
 // receives it within 100 ms unless the store is unreachable.
 constexpr Duration kFirstConfigTimeout = std::chrono::milliseconds(150);
-// Interval at which a waiting request checks again; load changes within
-// milliseconds.
-constexpr Duration kRecheckInterval = std::chrono::milliseconds(25);
-// Refused callers are told to retry after the route's latency objective divided
-// by this, in which several other requests end; without a route, after
-// kRetryAfter.
-constexpr int kRetryDivisor = 3;
-constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
+// When a caller that is refused for lack of a configuration should come back.
+constexpr Duration kConfigRetryAfter = std::chrono::milliseconds(150);
+
 } // namespace
 
 Exchange::Exchange(TrafficState& aState, HttpMessage aRequest, Handler aHandler)
@@ -164,7 +159,8 @@
   ChoiceContext context;
   context.now = state_.Now();
   context.usualServiceTime = statistics.TypicalServiceTime();
-  context.minQuality = CurrentDemand();
+  context.minQuality = RequiredQuality(
+    state_.PressureOf(service_).IsHigh(context.now), IsLeastUrgent());
   context.bytes =
     ByteCount(body_ ? body_->size() : 0) + statistics.TypicalResponseSize();
   return finder_.Find(
@@ -178,20 +174,6 @@
     });
 }
 
-/**
- * Under pressure, a request on a slowed target or on a target's last slots uses
- * the capacity of several others, which would prolong a short overload. Only
- * routes above the lowest priority may still use last slots.
- */
-TargetQuality Exchange::CurrentDemand() const
-{
-  if (!state_.PressureOf(service_).IsHigh(state_.Now())) {
-    return TargetQuality::kAny;
-  }
-  return route_->priority == routes_->LeastUrgent() ? TargetQuality::kGood
-                                                    : TargetQuality::kQuiet;
-}
-
 void Exchange::OnFound(std::optional<FoundTarget> aFound)
 {
   if (done_) {
@@ -309,8 +291,7 @@
 
 void Exchange::WaitForCapacity()
 {
-  const TimePoint until = startedAt_ + route_->latencyObjective / kWaitDivisor;
-  if (state_.Now() + kRecheckInterval > std::min(until, deadline_)) {
+  if (!MayWait(state_.Now(), startedAt_, route_->latencyObjective, deadline_)) {
     FinishLocally(LocalResponseKind::kRefused);
     return;
   }
@@ -354,13 +335,18 @@
   ++(state_.Counters().*count.counter);
   std::optional<Duration> retryAfter;
   if (aKind == LocalResponseKind::kRefused) {
-    retryAfter = route_ == nullptr ? kRetryAfter
-                                   : route_->latencyObjective / kRetryDivisor;
+    retryAfter = route_ == nullptr ? kConfigRetryAfter
+                                   : RetryAfter(route_->latencyObjective);
   }
   Finish(MakeLocalResponse(aKind, state_.Names().requestId, id_, retryAfter),
          count.outcome);
 }
 
+bool Exchange::IsLeastUrgent() const
+{
+  return route_->priority == routes_->LeastUrgent();
+}
+
 void Exchange::Finish(HttpMessage aResponse, const char* aOutcome)
 {
   if (done_) {
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -61,7 +61,7 @@
 
   /** Starts a search for another target; false when there is none to probe. */
   bool FindTarget();
-  TargetQuality CurrentDemand() const;
+  bool IsLeastUrgent() const;
   void OnFound(std::optional<FoundTarget> aFound);
   void Send(FoundTarget aTarget);
   HttpHead RequestHead(const TargetSpec& aTarget) const;
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -1,9 +1,9 @@
 #ifndef GATEWAY_TRAFFICSTATE_H
 #define GATEWAY_TRAFFICSTATE_H
 
+#include "admission/Pressure.h"
 #include "balance/FleetSnapshot.h"
 #include "balance/LoadSnapshot.h"
-#include "balance/Pressure.h"
 #include "balance/RetryWindow.h"
 #include "balance/SplitCursor.h"
 #include "balance/TargetChooser.h"
