End a stopping host 50 ms after it stopped listening in each case

Cause: read in the diff: a periodic check that was due at the moment when the gateway reported that it no longer listens armed the timer again, and the process then ended at the end of the grace time only.

Change: the periodic check does nothing once the gateway is closed. TargetSearch learns in Prepare() whether targets report their load, instead of in a getter.

--- a/src/gateway/TargetSearch.cpp
+++ b/src/gateway/TargetSearch.cpp
@@ -14,6 +14,8 @@
 // Two thirds to three quarters of the targets are at their usual speed at any
 // moment, so two rounds find one in nearly all cases.
 constexpr std::size_t kFirstRoundProbes = 2;
+// Where targets report no load, further probes would tell nothing more.
+constexpr std::size_t kProbesWithoutLoad = 1;
 // If the first targets are full or slow, their whole availability zone may be,
 // so most targets of the later rounds are in other zones.
 constexpr std::size_t kLaterRoundProbes = 1;
@@ -68,7 +70,19 @@
   for (const Choice& choice : state_.Chooser().Rank(context_, candidates)) {
     ranked_.push_back(candidates[choice.index].target);
   }
-  return !ranked_.empty();
+  if (ranked_.empty()) {
+    return false;
+  }
+  reportsLoad_ = MayReportLoad(*ranked_.front(), *load);
+  return true;
+}
+
+bool TargetSearch::MayReportLoad(const FleetTarget& aTarget,
+                                 const LoadSnapshot& aLoad)
+{
+  const TargetId& id = aTarget.spec.id;
+  const auto reading = state_.ViewOf(id).NewestReading(aLoad.Find(id));
+  return !reading || reading->load || reading->state != ReadingState::kServing;
 }
 
 Candidate TargetSearch::MakeCandidate(const FleetTarget& aTarget,
@@ -87,25 +101,15 @@
     return;
   }
   const bool first = rounds_++ == 0;
-  ProbeNext(first ? FirstRoundProbes() : kLaterRoundProbes,
-            &TargetSearch::IsAny);
+  const std::size_t firstProbes =
+    reportsLoad_ ? kFirstRoundProbes : kProbesWithoutLoad;
+  ProbeNext(first ? firstProbes : kLaterRoundProbes, &TargetSearch::IsAny);
   if (!first) {
     ProbeNext(kLaterRoundRemoteProbes, &TargetSearch::IsInRemoteZone);
   }
   ArmTimer();
 }
 
-std::size_t TargetSearch::FirstRoundProbes()
-{
-  const auto load = state_.Load();
-  const FleetTarget& best = *ranked_.front();
-  const auto reading =
-    state_.ViewOf(best.spec.id).NewestReading(load->Find(best.spec.id));
-  reportsLoad_ =
-    !reading || reading->load || reading->state != ReadingState::kServing;
-  return reportsLoad_ ? kFirstRoundProbes : 1;
-}
-
 void TargetSearch::ProbeNext(std::size_t aCount,
                              bool (*aFits)(const FleetTarget&))
 {
--- a/src/gateway/TargetSearch.h
+++ b/src/gateway/TargetSearch.h
@@ -60,8 +60,8 @@
                           const LoadSnapshot& aLoad);
   /** Probes the aCount best candidates that fit and were not probed yet. */
   void ProbeNext(std::size_t aCount, bool (*aFits)(const FleetTarget&));
-  /** A single probe if the best candidate's response would report no load. */
-  std::size_t FirstRoundProbes();
+  /** False if the target was seen to serve without reporting its load. */
+  bool MayReportLoad(const FleetTarget& aTarget, const LoadSnapshot& aLoad);
   void SendProbe(const FleetTarget& aTarget);
   void ArmTimer();
   void OnProbeEnded(Probe& aProbe, const ExchangeResult& aResult);
@@ -96,7 +96,7 @@
   unsigned rounds_ = 0;
   unsigned maxRounds_;
   std::string healthPath_;
-  /** False once a target of the service was seen to report no load. */
+  /** Whether the best candidate may report its load. */
   bool reportsLoad_ = true;
   std::vector<std::unique_ptr<Probe>> probes_;
   bool done_ = false;
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -192,6 +192,9 @@
 
   void OnStopCheck()
   {
+    if (closed) {
+      return;
+    }
     const Duration elapsed = clock.Now() - stopRequestedAt;
     if (elapsed >= gracePeriod - kShutdownMargin) {
       Log(LogLevel::kWarning, "stopped", { { "by", "the grace time" } });
