Ignore what an older list brings back after a restart

Cause: a restarted host has no record of earlier removals. A list that arrived after a newer one, from a peer that lags or from a read of the store that may be seconds old, added targets that had left in between, and nothing removed them again. Found by reading; operators of similar systems reported the like.

Change: a replica remembers the revision of the newest list that it applied and ignores unknown objects up to it.

Result: CatalogTest, lists of revision 20 and 10 in this order: the target that left is not there (before: in use, and the same for a lagging peer's changes).

--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -24,11 +24,15 @@
     }
     aState.removed.erase(removal);
   }
-  CatalogItem& current = aState.objects[aItem.name];
-  if (aItem.revision <= current.revision) {
+  const auto current = aState.objects.find(aItem.name);
+  // A newer list did not have the object, so it was removed before that list.
+  const Revision atLeast = current == aState.objects.end()
+                             ? aState.listedAt
+                             : current->second.revision;
+  if (aItem.revision <= atLeast) {
     return false;
   }
-  current = aItem;
+  aState.objects[aItem.name] = aItem;
   return true;
 }
 
@@ -91,9 +95,10 @@
       changed |= Remove(state, name, aChanges.revision);
     }
   }
-  if (state.revision < aChanges.revision) {
-    state.revision = aChanges.revision;
+  if (aChanges.full) {
+    state.listedAt = std::max(state.listedAt, aChanges.revision);
   }
+  state.revision = std::max(state.revision, aChanges.revision);
   DropOldRemovals(state);
   return changed;
 }
--- a/src/catalog/CatalogReplica.h
+++ b/src/catalog/CatalogReplica.h
@@ -42,6 +42,8 @@
   struct KindState
   {
     Revision revision;
+    /** Revision of the newest list of all objects that was applied. */
+    Revision listedAt;
     Objects objects;
     /** Removed objects, stored so that peers are informed of the removal. */
     Objects removed;
--- a/tests/CatalogTest.cpp
+++ b/tests/CatalogTest.cpp
@@ -132,3 +132,29 @@
   CHECK(replica.ObjectsOf(CatalogKind::kTarget).size() == 2);
   CHECK(replica.RevisionOf(CatalogKind::kTarget) == Revision(9));
 }
+
+// Guards against a target that left and is in use again after a restart: the
+// host read a newer list first, and an older one, from a peer that lags or from
+// a store that serves old reads, arrived later.
+TEST_CASE("catalog: an older list brings back nothing that a newer one lacks")
+{
+  const CatalogChanges older = { true,
+                                 Revision(10),
+                                 { Item("left", 5), Item("stays", 6) } };
+  const CatalogChanges newer = { true,
+                                 Revision(20),
+                                 { Item("stays", 6), Item("new", 15) } };
+  CatalogReplica restarted;
+  restarted.Apply(CatalogKind::kTarget, newer);
+  CHECK_FALSE(restarted.Apply(CatalogKind::kTarget, older));
+  // The same object in changes that a lagging peer sends.
+  CHECK_FALSE(restarted.Apply(CatalogKind::kTarget,
+                              { false, Revision(12), { Item("left", 5) } }));
+  CHECK(restarted.ObjectsOf(CatalogKind::kTarget).size() == 2);
+  CHECK(restarted.ObjectsOf(CatalogKind::kTarget).count("left") == 0);
+  CHECK(restarted.RevisionOf(CatalogKind::kTarget) == Revision(20));
+  // A target that registers again under its name is back.
+  CHECK(restarted.Apply(CatalogKind::kTarget,
+                        { false, Revision(21), { Item("left", 21) } }));
+  CHECK(restarted.ObjectsOf(CatalogKind::kTarget).count("left") == 1);
+}
