Let the test of a caller who left find its fault

Cause: the test's target was cold for ten seconds, so that no search found it and the test passed without the change that it guards.

Change: the service has no targets until the caller has left.

Result (the former condition of Exchange::Abandon put back): 1 run, the test fails; with the change 0 runs, three times.

--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -120,17 +120,15 @@
 TEST_CASE("gateway: a caller who left no longer waits for a target")
 {
   GatewayTarget target(&RespondOk);
-  target.healthStatus = 503;
-  target.coldMs = 10000;
   TestGateway gateway(target.Address(), kPatientObjective);
+  gateway.Configure({});
   RawCaller caller(gateway.Port());
   caller.Send(TestGateway::Request("POST", "/once/x", "r1", "b"));
-  std::this_thread::sleep_for(std::chrono::milliseconds(15));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
   caller.Close();
-  std::this_thread::sleep_for(std::chrono::milliseconds(15));
-  target.healthStatus = 200;
-  target.coldMs = 0;
-  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  gateway.Configure({ &target });
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
   CHECK(target.Runs() == 0);
   CHECK(gateway.Counters().callerDisconnects == 1);
 }
