--- a/src/admission/Pressure.h
+++ b/src/admission/Pressure.h
@@ -10,7 +10,7 @@
  * Tracks how often recent searches for a target found none of
  * TargetQuality::kGood. When pressure is high, second attempts, filling a
  * target's last slots and sending many probes take capacity away from first
- * attempts.
+ * attempts. Answers a burst of some seconds; AdmissionTest replays one of 3 s.
  */
 class Pressure
 {
--- a/src/admission/RequiredQuality.h
+++ b/src/admission/RequiredQuality.h
@@ -10,7 +10,8 @@
  * targets are slow, full or shed: a request on a slow target or on a target's
  * last slots uses the capacity of several others, which prolongs the overload.
  * Only routes above the lowest priority may still use last slots, so that a
- * more urgent route is not served less than a less urgent one.
+ * more urgent route is not served less than a less urgent one. Tested by
+ * AdmissionTest.
  */
 TargetQuality RequiredQuality(bool aPressureIsHigh, bool aLeastUrgent);
 
--- a/src/admission/RetryAfter.h
+++ b/src/admission/RetryAfter.h
@@ -9,7 +9,8 @@
  * Returns when the caller of a refused request should come back. Answers a
  * burst of 1.3 to 1.8 times the capacity for some seconds: several other
  * requests end within a third of the latency objective, and a second attempt
- * that starts then can still be answered within the objective.
+ * that starts then can still be answered within the objective. Tested by
+ * AdmissionTest.
  */
 Duration RetryAfter(Duration aLatencyObjective);
 
--- a/src/admission/WaitLimit.h
+++ b/src/admission/WaitLimit.h
@@ -13,7 +13,7 @@
  * moments in which all targets are full or slow: load changes within
  * milliseconds, so a short wait often ends with a target, and a longer one only
  * delays the refusal. A request waits for at most an eighth of its latency
- * objective, and never beyond its deadline.
+ * objective, and never beyond its deadline. Tested by AdmissionTest.
  */
 bool MayWait(TimePoint aNow,
              TimePoint aStart,
