Log and count connections that close with a request unanswered

Cause: a request whose connection closed early ended as outcome=success in the logs, or left no line, and no metric counted it. Change: each close has a reason; one that leaves a request unanswered writes event=unanswered with the request's id and the reason, and counts in lacewing_unanswered_total by caller-gone, timeout and stop. A configuration's line names its idle limit. No behavior changed.

--- a/src/fleet/CatalogView.cpp
+++ b/src/fleet/CatalogView.cpp
@@ -51,11 +51,14 @@
       continue;
     }
     routes_ = routes.value();
+    const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(
+      routes_->Limits().idleTimeout);
     Log(LogLevel::kInfo,
         "configuration",
         { { "version", std::to_string(routes_->Version().value()) },
           { "revision", std::to_string(item.revision.value()) },
-          { "routes", std::to_string(routes_->RouteCount()) } });
+          { "routes", std::to_string(routes_->RouteCount()) },
+          { "idle_ms", std::to_string(idle.count()) } });
   }
 }
 
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -2,6 +2,8 @@
 
 #include "core/Log.h"
 #include "gateway/LocalResponse.h"
+#include "gateway/RequestDeadline.h"
+#include "gateway/UnansweredCount.h"
 #include "http/AsyncRead.h"
 #include "http/HopFields.h"
 #include "http/MessageBytes.h"
@@ -84,15 +86,16 @@
   Read();
 }
 
-void CallerSession::ArmTimer(Duration aAfter)
+void CallerSession::ArmTimer(Duration aAfter, CloseReason aReason)
 {
   timer_.expires_after(aAfter);
-  timer_.async_wait([self = weak_from_this()](const asio::error_code& aError) {
-    const auto session = self.lock();
-    if (!aError && session) {
-      session->OnTimer();
-    }
-  });
+  timer_.async_wait(
+    [self = weak_from_this(), aReason](const asio::error_code& aError) {
+      const auto session = self.lock();
+      if (!aError && session) {
+        session->OnTimer(aReason);
+      }
+    });
 }
 
 /** Arms the idle timeout until a head's first byte, then the head timeout. */
@@ -100,17 +103,21 @@
 {
   const CallerLimits limits = Limits();
   headTimerArmed_ = parser_.Started();
-  ArmTimer(headTimerArmed_ ? limits.headTimeout : limits.idleTimeout);
+  if (headTimerArmed_) {
+    ArmTimer(limits.headTimeout, CloseReason::kHeadTimeout);
+  } else {
+    ArmTimer(limits.idleTimeout, CloseReason::kIdleTimeout);
+  }
 }
 
-void CallerSession::OnTimer()
+void CallerSession::OnTimer(CloseReason aReason)
 {
   if (stage_ == Stage::kReading && parser_.Started() && !parser_.HeadDone()) {
     Log(LogLevel::kInfo,
         "caller",
         { { "closed", "request head not complete in time" } });
   }
-  Close();
+  Close(aReason);
 }
 
 void CallerSession::Read()
@@ -137,7 +144,8 @@
     if (exchange_) {
       exchange_->Abandon();
     }
-    Close();
+    Close(aError == asio::error::eof ? CloseReason::kCallerClosed
+                                     : CloseReason::kCallerReset);
     return;
   }
   if (stage_ == Stage::kLingering) {
@@ -171,7 +179,7 @@
   if (parser_.HeadDone()) {
     SendContinue();
     // A body may take any time as long as its bytes keep arriving.
-    ArmTimer(Limits().idleTimeout);
+    ArmTimer(Limits().idleTimeout, CloseReason::kBodyTimeout);
   } else if (parser_.Started() && !headTimerArmed_) {
     ArmReadTimer();
   }
@@ -179,6 +187,7 @@
 
 void CallerSession::OnParseFailure()
 {
+  requestedAt_ = state_.Now();
   ++state_.Counters().badRequests;
   keepAlive_ = false;
   const LocalResponseKind kind = LocalResponseFor(parser_.Failure());
@@ -209,6 +218,7 @@
 void CallerSession::BeginExchange()
 {
   stage_ = Stage::kResponding;
+  requestedAt_ = state_.Now();
   timer_.cancel();
   continueSent_ = false;
   HttpMessage request = parser_.Take();
@@ -231,6 +241,7 @@
   // Start may call the handler, which resets exchange_; this copy keeps the
   // exchange alive until Start returns.
   const std::shared_ptr<Exchange> exchange = exchange_;
+  requestId_ = exchange->Id();
   exchange->Start();
 }
 
@@ -253,7 +264,7 @@
 void CallerSession::Write()
 {
   writing_ = true;
-  ArmTimer(kWriteTimeout);
+  ArmTimer(kWriteTimeout, CloseReason::kWriteTimeout);
   const std::vector<asio::const_buffer> parts{ asio::buffer(outHead_),
                                                asio::buffer(outBody_) };
   asio::async_write(
@@ -271,7 +282,7 @@
     return;
   }
   if (aError) {
-    Close();
+    Close(CloseReason::kCallerReset);
     return;
   }
   outHead_ = std::string();
@@ -282,6 +293,7 @@
     return;
   }
   stage_ = Stage::kReading;
+  requestId_.clear();
   const CallerLimits limits = Limits();
   parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
   ArmReadTimer();
@@ -299,7 +311,7 @@
   pending_.clear();
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  ArmTimer(kLingerTime);
+  ArmTimer(kLingerTime, CloseReason::kAnswered);
   Read();
 }
 
@@ -320,11 +332,27 @@
   }
 }
 
-void CallerSession::Close()
+void CallerSession::RecordUnanswered(CloseReason aReason)
+{
+  ++(state_.Counters().*UnansweredCounterOf(aReason));
+  const bool callerGone = aReason == CloseReason::kCallerClosed ||
+                          aReason == CloseReason::kCallerReset;
+  Log(callerGone ? LogLevel::kInfo : LogLevel::kWarning,
+      "unanswered",
+      { { "request", requestId_ },
+        { "reason", ToString(aReason) },
+        { "writing", writing_ ? "1" : "0" },
+        { "ms", MillisecondsText(state_.Now() - requestedAt_) } });
+}
+
+void CallerSession::Close(CloseReason aReason)
 {
   if (stage_ == Stage::kClosed) {
     return;
   }
+  if (stage_ == Stage::kResponding) {
+    RecordUnanswered(aReason);
+  }
   stage_ = Stage::kClosed;
   timer_.cancel();
   exchange_.reset();
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_CALLERSESSION_H
 #define GATEWAY_CALLERSESSION_H
 
+#include "gateway/CloseReason.h"
 #include "gateway/Exchange.h"
 #include "gateway/TrafficState.h"
 #include "http/MessageParser.h"
@@ -34,7 +35,8 @@
   /** Whether a request is in progress, partly read or waits to be read. */
   bool Busy() const;
 
-  void Close();
+  /** Closes at once; logs and counts a request that is left unanswered. */
+  void Close(CloseReason aReason);
 
 private:
   enum class Stage
@@ -56,9 +58,11 @@
   void Write();
   void OnWritten(const asio::error_code& aError);
   void Linger();
-  void ArmTimer(Duration aAfter);
+  /** Closes the connection for aReason unless armed again within aAfter. */
+  void ArmTimer(Duration aAfter, CloseReason aReason);
   void ArmReadTimer();
-  void OnTimer();
+  void OnTimer(CloseReason aReason);
+  void RecordUnanswered(CloseReason aReason);
   CallerLimits Limits() const;
 
   TrafficState& state_;
@@ -69,6 +73,10 @@
   /** Bytes received after the end of the request in progress. */
   std::string pending_;
   std::shared_ptr<Exchange> exchange_;
+  /** The id of the request in progress; empty if it has none. */
+  std::string requestId_;
+  /** When the request in progress was read completely. */
+  TimePoint requestedAt_;
   std::string outHead_;
   std::string outBody_;
   /** The response body's share of the memory for bodies. */
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -46,6 +46,9 @@
    */
   void Abandon();
 
+  /** The id that the caller set; empty without one. */
+  const std::string& Id() const { return id_; }
+
 private:
   std::string FieldOf(const std::string& aName) const;
   void Begin();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -164,7 +164,7 @@
   {
     const auto open = sessions;
     for (const auto& session : open) {
-      session->Close();
+      session->Close(CloseReason::kStopped);
     }
     state.Open().Clear();
   }
--- a/src/gateway/GatewayCounters.h
+++ b/src/gateway/GatewayCounters.h
@@ -24,6 +24,10 @@
   std::uint64_t noRoute = 0;
   std::uint64_t badRequests = 0;
   std::uint64_t callerDisconnects = 0;
+  /** Connections that closed before the response was written, by cause. */
+  std::uint64_t unansweredCallerGone = 0;
+  std::uint64_t unansweredTimeout = 0;
+  std::uint64_t unansweredStop = 0;
   /** Probes sent to targets right before one is chosen. */
   std::uint64_t probes = 0;
   std::uint64_t attempts = 0;
--- a/src/host/GatewayMetrics.cpp
+++ b/src/host/GatewayMetrics.cpp
@@ -13,9 +13,15 @@
   const char* name;
   const char* help;
   std::uint64_t GatewayCounters::*member;
+  /** Value of the label "reason"; null without a label. */
+  const char* reason = nullptr;
 };
 
-constexpr std::array<CounterRow, 15> kRows{ {
+constexpr const char* kUnanswered = "lacewing_unanswered_total";
+constexpr const char* kUnansweredHelp =
+  "Requests whose connection closed before their response was written.";
+
+constexpr std::array<CounterRow, 18> kRows{ {
   { "lacewing_connections_total",
     "Connections accepted from callers.",
     &GatewayCounters::connections },
@@ -46,6 +52,15 @@
   { "lacewing_callers_gone_total",
     "Callers that disconnected before their response.",
     &GatewayCounters::callerDisconnects },
+  { kUnanswered,
+    kUnansweredHelp,
+    &GatewayCounters::unansweredCallerGone,
+    "caller-gone" },
+  { kUnanswered,
+    kUnansweredHelp,
+    &GatewayCounters::unansweredTimeout,
+    "timeout" },
+  { kUnanswered, kUnansweredHelp, &GatewayCounters::unansweredStop, "stop" },
   { "lacewing_attempts_total",
     "Attempts sent to targets, first ones included.",
     &GatewayCounters::attempts },
@@ -69,7 +84,10 @@
 {
   MetricsPage page;
   for (const CounterRow& row : kRows) {
-    page.AddCounter(row.name, row.help, {}, aCounters.*row.member);
+    const MetricLabels labels = row.reason == nullptr
+                                  ? MetricLabels()
+                                  : MetricLabels{ { "reason", row.reason } };
+    page.AddCounter(row.name, row.help, labels, aCounters.*row.member);
   }
   page.AddHistogram("lacewing_request_seconds",
                     "Seconds from a request's last byte to its response.",
