--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -21,16 +21,6 @@
   return closed.get_future().get();
 }
 
-/** Keeps the traffic thread busy, so that connections wait in the kernel. */
-void Occupy(TestGateway& aGateway, std::atomic<bool>& aRelease)
-{
-  aGateway.Get().ReadCounters([&aRelease](const GatewayCounters&) {
-    while (!aRelease) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-  });
-}
-
 } // namespace
 
 // Guards against a leak: an attempt's connection held its request, and a
@@ -64,7 +54,7 @@
   TestGateway gateway(target.Address(), kPatientObjective);
   const std::uint16_t port = gateway.Port();
   std::atomic<bool> release{ false };
-  Occupy(gateway, release);
+  gateway.Occupy(release);
   RawCaller caller(port);
   caller.Send(TestGateway::Request("GET", "/safe/a", "r1"));
   std::thread releaser([&release] {
@@ -86,7 +76,7 @@
   caller.Send(TestGateway::Request("GET", "/safe/a", "r1"));
   caller.ReadUntil("ok r1");
   std::atomic<bool> release{ false };
-  Occupy(gateway, release);
+  gateway.Occupy(release);
   caller.Send(TestGateway::Request("GET", "/safe/a", "r2"));
   std::thread releaser([&release] {
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
--- a/tests/support/RawCaller.h
+++ b/tests/support/RawCaller.h
@@ -56,6 +56,13 @@
 
   bool Closed() const { return closed_; }
 
+  /** Ends the sending side; the connection can still be read. */
+  void EndSending()
+  {
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+
   void Close()
   {
     asio::error_code ignored;
--- a/tests/support/TestGateway.h
+++ b/tests/support/TestGateway.h
@@ -8,9 +8,11 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace lacewing {
@@ -77,9 +79,6 @@
                           Duration aTimeout = std::chrono::seconds(2),
                           unsigned aColdQuota = 0)
   {
-    CallerLimits limits;
-    limits.maxHead = ByteCount(4096);
-    limits.maxBody = ByteCount(1U << 20U);
     ServiceSpec service;
     service.id = ServiceId("s");
     service.healthPath = "/health";
@@ -90,7 +89,7 @@
                          Route("once", RequestClass::kNonIdempotent, aTimeout),
                          Route("upload", RequestClass::kUpload, aTimeout) },
                        { service },
-                       limits)
+                       limits_)
         .value();
     for (std::size_t i = 0; i < aTargets.size(); ++i) {
       FleetTarget target;
@@ -105,6 +104,38 @@
     fleet_.Publish(std::move(snapshot));
   }
 
+  /** Sets how long a caller's head, body and pause may take from now on. */
+  void SetCallerTimeouts(Duration aTimeout)
+  {
+    limits_.headTimeout = aTimeout;
+    limits_.idleTimeout = aTimeout;
+    auto snapshot = std::make_shared<FleetSnapshot>(*fleet_.Get());
+    const RouteTable& routes = *snapshot->routes;
+    snapshot->routes = RouteTable::Make(ConfigVersion(2),
+                                        { *routes.Find("test", "/safe/"),
+                                          *routes.Find("test", "/once/"),
+                                          *routes.Find("test", "/upload/") },
+                                        { *routes.Service(ServiceId("s")) },
+                                        limits_)
+                         .value();
+    fleet_.Publish(std::move(snapshot));
+  }
+
+  /** Keeps the traffic thread busy until aRelease is set; returns once it is.
+   */
+  void Occupy(const std::atomic<bool>& aRelease)
+  {
+    const auto begun = std::make_shared<std::promise<void>>();
+    std::future<void> busy = begun->get_future();
+    gateway_->ReadCounters([&aRelease, begun](const GatewayCounters&) {
+      begun->set_value();
+      while (!aRelease) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    });
+    busy.get();
+  }
+
   std::uint16_t Port() const { return gateway_->Port(); }
   Gateway& Get() { return *gateway_; }
 
@@ -183,6 +214,15 @@
     return route;
   }
 
+  static CallerLimits SmallLimits()
+  {
+    CallerLimits limits;
+    limits.maxHead = ByteCount(4096);
+    limits.maxBody = ByteCount(1U << 20U);
+    return limits;
+  }
+
+  CallerLimits limits_ = SmallLimits();
   Duration objective_ = std::chrono::milliseconds(500);
   MonotonicClock clock_;
   SnapshotCell<FleetSnapshot> fleet_{ std::make_shared<const FleetSnapshot>() };
