Add a timer whose handler never runs once it is cancelled

Cause: asio's cancel() does not take back a handler that is queued already, so each user of a timer has to recognize outdated handlers by itself. Change: OneShotTimer recognizes them: after Cancel(), a later Arm() or its end a handler does not run.

--- /dev/null
+++ b/src/core/OneShotTimer.h
@@ -0,0 +1,44 @@
+#ifndef CORE_ONESHOTTIMER_H
+#define CORE_ONESHOTTIMER_H
+
+#include "lacewing/Clock.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace lacewing {
+
+/**
+ * Calls a handler once at a set time. A handler never runs after Cancel(), a
+ * later Arm() or the timer's end, even if its time has come: asio's cancel()
+ * does not take back a handler that is already queued. Belongs to the thread
+ * that runs the io_context.
+ */
+class OneShotTimer
+{
+public:
+  using Handler = std::function<void()>;
+
+  explicit OneShotTimer(asio::io_context& aContext);
+  ~OneShotTimer();
+  OneShotTimer(const OneShotTimer&) = delete;
+  OneShotTimer& operator=(const OneShotTimer&) = delete;
+
+  /** Calls aHandler after aAfter; replaces the handler that was armed. */
+  void Arm(Duration aAfter, Handler aHandler);
+
+  /** Calls aHandler at aAt; replaces the handler that was armed. */
+  void ArmAt(TimePoint aAt, Handler aHandler);
+
+  void Cancel();
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+} // namespace lacewing
+
+#endif // CORE_ONESHOTTIMER_H
