Cancel the timeouts of a caller's connection exactly

Callers saw: a kept connection closed without an answer, while their request ran at a target. Cause: the connection's timer was cancelled when a request was read, but its handler was queued already: a busy thread finds the readable socket and the expired timer in one step and reads first. The handler closed the connection in any stage and so dropped the exchange's handler. A check that is made too early (the timer expired) acted on a state that had changed since. Change: the session uses OneShotTimer, whose handlers do not run once they are cancelled or replaced; each stage arms a timeout of its own.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -86,16 +86,14 @@
   Read();
 }
 
-void CallerSession::ArmTimer(Duration aAfter, CloseReason aReason)
+void CallerSession::ArmTimer(Duration aAfter,
+                             void (CallerSession::*aOnTimeout)())
 {
-  timer_.expires_after(aAfter);
-  timer_.async_wait(
-    [self = weak_from_this(), aReason](const asio::error_code& aError) {
-      const auto session = self.lock();
-      if (!aError && session) {
-        session->OnTimer(aReason);
-      }
-    });
+  timer_.Arm(aAfter, [self = weak_from_this(), aOnTimeout] {
+    if (const auto session = self.lock()) {
+      (session.get()->*aOnTimeout)();
+    }
+  });
 }
 
 /** Arms the idle timeout until a head's first byte, then the head timeout. */
@@ -104,20 +102,38 @@
   const CallerLimits limits = Limits();
   headTimerArmed_ = parser_.Started();
   if (headTimerArmed_) {
-    ArmTimer(limits.headTimeout, CloseReason::kHeadTimeout);
+    ArmTimer(limits.headTimeout, &CallerSession::OnHeadTimeout);
   } else {
-    ArmTimer(limits.idleTimeout, CloseReason::kIdleTimeout);
+    ArmTimer(limits.idleTimeout, &CallerSession::OnIdleTimeout);
   }
 }
 
-void CallerSession::OnTimer(CloseReason aReason)
+void CallerSession::OnIdleTimeout()
 {
-  if (stage_ == Stage::kReading && parser_.Started() && !parser_.HeadDone()) {
-    Log(LogLevel::kInfo,
-        "caller",
-        { { "closed", "request head not complete in time" } });
-  }
-  Close(aReason);
+  Close(CloseReason::kIdleTimeout);
+}
+
+void CallerSession::OnHeadTimeout()
+{
+  Log(LogLevel::kInfo,
+      "caller",
+      { { "closed", "request head not complete in time" } });
+  Close(CloseReason::kHeadTimeout);
+}
+
+void CallerSession::OnBodyTimeout()
+{
+  Close(CloseReason::kBodyTimeout);
+}
+
+void CallerSession::OnWriteTimeout()
+{
+  Close(CloseReason::kWriteTimeout);
+}
+
+void CallerSession::OnLingerTimeout()
+{
+  Close(CloseReason::kAnswered);
 }
 
 void CallerSession::Read()
@@ -179,7 +195,7 @@
   if (parser_.HeadDone()) {
     SendContinue();
     // A body may take any time as long as its bytes keep arriving.
-    ArmTimer(Limits().idleTimeout, CloseReason::kBodyTimeout);
+    ArmTimer(Limits().idleTimeout, &CallerSession::OnBodyTimeout);
   } else if (parser_.Started() && !headTimerArmed_) {
     ArmReadTimer();
   }
@@ -219,7 +235,7 @@
 {
   stage_ = Stage::kResponding;
   requestedAt_ = state_.Now();
-  timer_.cancel();
+  timer_.Cancel();
   continueSent_ = false;
   HttpMessage request = parser_.Take();
   keepAlive_ = request.head.keepAlive;
@@ -264,7 +280,7 @@
 void CallerSession::Write()
 {
   writing_ = true;
-  ArmTimer(kWriteTimeout, CloseReason::kWriteTimeout);
+  ArmTimer(kWriteTimeout, &CallerSession::OnWriteTimeout);
   const std::vector<asio::const_buffer> parts{ asio::buffer(outHead_),
                                                asio::buffer(outBody_) };
   asio::async_write(
@@ -311,7 +327,7 @@
   pending_.clear();
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  ArmTimer(kLingerTime, CloseReason::kAnswered);
+  ArmTimer(kLingerTime, &CallerSession::OnLingerTimeout);
   Read();
 }
 
@@ -354,7 +370,7 @@
     RecordUnanswered(aReason);
   }
   stage_ = Stage::kClosed;
-  timer_.cancel();
+  timer_.Cancel();
   exchange_.reset();
   asio::error_code ignored;
   socket_.close(ignored);
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -1,13 +1,13 @@
 #ifndef GATEWAY_CALLERSESSION_H
 #define GATEWAY_CALLERSESSION_H
 
+#include "core/OneShotTimer.h"
 #include "gateway/CloseReason.h"
 #include "gateway/Exchange.h"
 #include "gateway/TrafficState.h"
 #include "http/MessageParser.h"
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -58,17 +58,22 @@
   void Write();
   void OnWritten(const asio::error_code& aError);
   void Linger();
-  /** Closes the connection for aReason unless armed again within aAfter. */
-  void ArmTimer(Duration aAfter, CloseReason aReason);
+  /** Calls aOnTimeout after aAfter, in place of what was armed before. */
+  void ArmTimer(Duration aAfter, void (CallerSession::*aOnTimeout)());
   void ArmReadTimer();
-  void OnTimer(CloseReason aReason);
+  void OnIdleTimeout();
+  void OnHeadTimeout();
+  void OnBodyTimeout();
+  void OnWriteTimeout();
+  void OnLingerTimeout();
   void RecordUnanswered(CloseReason aReason);
   CallerLimits Limits() const;
 
   TrafficState& state_;
   asio::ip::tcp::socket socket_;
   std::function<void(CallerSession*)> onClosed_;
-  asio::steady_timer timer_;
+  /** The timeout of the current stage; each stage arms its own. */
+  OneShotTimer timer_;
   MessageParser parser_;
   /** Bytes received after the end of the request in progress. */
   std::string pending_;
