Read what has arrived before a timeout closes a caller's connection

Callers saw: a connection closed although their request had arrived in time. Cause: the timeout's handler may run before the socket's on a busy thread; asio also handles at most 128 sockets a step but all expired timers. Change: a timeout of reading first reads what the kernel has received. A head that is still incomplete then ends the connection as before.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -108,22 +108,32 @@
   }
 }
 
+// When a timeout of reading is handled, bytes that came in time may still be
+// unread because the thread was busy. They are read before it takes effect.
+
 void CallerSession::OnIdleTimeout()
 {
-  Close(CloseReason::kIdleTimeout);
+  if (!ReadArrived()) {
+    Close(CloseReason::kIdleTimeout);
+  }
 }
 
 void CallerSession::OnHeadTimeout()
 {
-  Log(LogLevel::kInfo,
-      "caller",
-      { { "closed", "request head not complete in time" } });
-  Close(CloseReason::kHeadTimeout);
+  ReadArrived();
+  if (stage_ == Stage::kReading && !parser_.HeadDone()) {
+    Log(LogLevel::kInfo,
+        "caller",
+        { { "closed", "request head not complete in time" } });
+    Close(CloseReason::kHeadTimeout);
+  }
 }
 
 void CallerSession::OnBodyTimeout()
 {
-  Close(CloseReason::kBodyTimeout);
+  if (!ReadArrived()) {
+    Close(CloseReason::kBodyTimeout);
+  }
 }
 
 void CallerSession::OnWriteTimeout()
@@ -150,6 +160,18 @@
             });
 }
 
+bool CallerSession::ReadArrived()
+{
+  ReadBuffer& buffer = ThreadReadBuffer();
+  asio::error_code error;
+  const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    return false;
+  }
+  OnRead(error, std::string_view(buffer.data(), count));
+  return true;
+}
+
 void CallerSession::OnRead(const asio::error_code& aError,
                            std::string_view aBytes)
 {
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -49,6 +49,8 @@
   };
 
   void Read();
+  /** Handles the bytes that have arrived; false if there are none. */
+  bool ReadArrived();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void ParsePending();
   void OnParseFailure();
