Keep idle connections open for as long as a raised limit allows

Callers saw: connections closed before four fifths of the idle limit in force. Cause: the timer of an idle connection kept the limit of the time when it was armed; a configuration that raises the limit did not reach it, so callers who use the connection under the new limit met its close. Change: an idle timeout that expires is compared with the limit in force.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -64,6 +64,7 @@
   , socket_(std::move(aSocket))
   , onClosed_(std::move(aOnClosed))
   , timer_(aState.Context())
+  , idleSince_(aState.Now())
   , parser_(MessageSide::kRequest, ParserLimits())
 {
 }
@@ -104,7 +105,8 @@
   if (headTimerArmed_) {
     ArmTimer(limits.headTimeout, &CallerSession::OnHeadTimeout);
   } else {
-    ArmTimer(limits.idleTimeout, &CallerSession::OnIdleTimeout);
+    ArmTimer(idleSince_ + limits.idleTimeout - state_.Now(),
+             &CallerSession::OnIdleTimeout);
   }
 }
 
@@ -113,9 +115,15 @@
 
 void CallerSession::OnIdleTimeout()
 {
-  if (!ReadArrived()) {
-    Close(CloseReason::kIdleTimeout);
+  if (ReadArrived()) {
+    return;
+  }
+  // The limit may have been raised since the timer was armed.
+  if (state_.Now() < idleSince_ + Limits().idleTimeout) {
+    ArmReadTimer();
+    return;
   }
+  Close(CloseReason::kIdleTimeout);
 }
 
 void CallerSession::OnHeadTimeout()
@@ -332,6 +340,7 @@
   }
   stage_ = Stage::kReading;
   requestId_.clear();
+  idleSince_ = state_.Now();
   const CallerLimits limits = Limits();
   parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
   ArmReadTimer();
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -76,6 +76,8 @@
   std::function<void(CallerSession*)> onClosed_;
   /** The timeout of the current stage; each stage arms its own. */
   OneShotTimer timer_;
+  /** When the connection was opened or its last response was written. */
+  TimePoint idleSince_;
   MessageParser parser_;
   /** Bytes received after the end of the request in progress. */
   std::string pending_;
