Answer callers that ended only their sending side

Callers saw: a connection closed without an answer after they had sent a request and ended their sending side; the request had been passed on. Cause: the end of a caller's input was taken as a disconnect in every case: the connection was closed, and the answer of a request that runs at most once was dropped. The two cases cannot be told apart before something is written. Change: the connection stays open for writing. A request that runs at most once completes and its answer is written; any other is cancelled at its target at once, as before, and answered with 502, or 503 if it was not sent. The request's log line says caller=closed. Ruled out: serving requests that may be repeated to the end, since targets would work for callers who have left.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -156,7 +156,8 @@
 
 void CallerSession::Read()
 {
-  if (reading_ || stage_ == Stage::kClosed || pending_.size() >= kMaxPending) {
+  if (reading_ || callerEnded_ || stage_ == Stage::kClosed ||
+      pending_.size() >= kMaxPending) {
     return;
   }
   reading_ = true;
@@ -187,11 +188,7 @@
     return;
   }
   if (aError) {
-    if (exchange_) {
-      exchange_->Abandon();
-    }
-    Close(aError == asio::error::eof ? CloseReason::kCallerClosed
-                                     : CloseReason::kCallerReset);
+    OnReadFailed(aError);
     return;
   }
   if (stage_ == Stage::kLingering) {
@@ -205,6 +202,25 @@
   Read();
 }
 
+void CallerSession::OnReadFailed(const asio::error_code& aError)
+{
+  const bool ended = aError == asio::error::eof;
+  if (ended && stage_ == Stage::kResponding) {
+    // A caller may end only its sending side and still read the response. One
+    // that is gone makes the write fail.
+    callerEnded_ = true;
+    keepAlive_ = false;
+    if (const std::shared_ptr<Exchange> exchange = exchange_) {
+      exchange->OnCallerClosed();
+    }
+    return;
+  }
+  if (exchange_) {
+    exchange_->Abandon();
+  }
+  Close(ended ? CloseReason::kCallerClosed : CloseReason::kCallerReset);
+}
+
 void CallerSession::ParsePending()
 {
   while (stage_ == Stage::kReading && !pending_.empty()) {
@@ -334,6 +350,10 @@
   outHead_ = std::string();
   outBody_ = std::string();
   outCharge_.reset();
+  if (callerEnded_) {
+    Close(CloseReason::kAnswered);
+    return;
+  }
   if (!keepAlive_) {
     Linger();
     return;
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -52,6 +52,7 @@
   /** Handles the bytes that have arrived; false if there are none. */
   bool ReadArrived();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
+  void OnReadFailed(const asio::error_code& aError);
   void ParsePending();
   void OnParseFailure();
   void SendContinue();
@@ -97,6 +98,8 @@
   bool keepAlive_ = true;
   bool isHeadRequest_ = false;
   bool headTimerArmed_ = false;
+  /** The caller has ended its sending side; nothing more can be read. */
+  bool callerEnded_ = false;
 };
 
 } // namespace lacewing
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -271,7 +271,7 @@
 
 bool Exchange::TryRetry(AttemptResult aEnd)
 {
-  if (abandoned_ || finder_.Searching() ||
+  if (callerClosed_ || finder_.Searching() ||
       !MayRetry(route_->requestClass, aEnd) || sent_ >= route_->maxAttempts ||
       attemptCount_ >= kMaxTargetsTried || state_.Now() >= deadline_) {
     return false;
@@ -364,15 +364,33 @@
   }
 }
 
-void Exchange::Abandon()
+bool Exchange::RunsOn() const
+{
+  return !attempts_.empty() && RunsAtMostOnce(route_->requestClass);
+}
+
+void Exchange::OnCallerClosed()
 {
   ++state_.Counters().callerDisconnects;
-  abandoned_ = true;
-  handler_ = nullptr;
-  if (done_) {
+  callerClosed_ = true;
+  if (done_ || RunsOn()) {
     return;
   }
-  if (!attempts_.empty() && RunsAtMostOnce(route_->requestClass)) {
+  const bool mayHaveRun = mayHaveRun_ || !attempts_.empty();
+  Finish(MakeLocalResponse(mayHaveRun ? LocalResponseKind::kOutcomeUnknown
+                                      : LocalResponseKind::kRefused,
+                           state_.Names().requestId,
+                           id_),
+         "caller-gone");
+}
+
+void Exchange::Abandon()
+{
+  if (!std::exchange(callerClosed_, true)) {
+    ++state_.Counters().callerDisconnects;
+  }
+  handler_ = nullptr;
+  if (done_ || RunsOn()) {
     return;
   }
   LogEnd(Trace(), 0, "caller-gone");
@@ -398,6 +416,7 @@
   trace.service = service_;
   trace.attemptCount = attemptCount_;
   trace.duration = state_.Now() - startedAt_;
+  trace.callerClosed = callerClosed_;
   return trace;
 }
 
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -39,6 +39,13 @@
    */
   void Start();
 
+  /**
+   * Called when the caller has ended its sending side: it is gone, or waits for
+   * the response. A request that runs at most once completes at its target;
+   * any other is cancelled and gets a local response.
+   */
+  void OnCallerClosed();
+
   /**
    * Called when the caller has disconnected; the handler is not called any
    * more. Cancels the attempts of a request that may be retried; a request that
@@ -85,6 +92,8 @@
   /** Stops timers and attempts; no handler runs any more. */
   void End();
   void CancelAttempts();
+  /** Whether it must be left to complete although nobody may read its end. */
+  bool RunsOn() const;
   RequestTrace Trace() const;
 
   TrafficState& state_;
@@ -112,7 +121,8 @@
   TargetFinder finder_;
   asio::steady_timer deadlineTimer_;
   asio::steady_timer stepTimer_;
-  bool abandoned_ = false;
+  /** The caller has closed the connection or ended its sending side. */
+  bool callerClosed_ = false;
   bool done_ = false;
 };
 
--- a/src/gateway/RequestTrace.cpp
+++ b/src/gateway/RequestTrace.cpp
@@ -60,7 +60,8 @@
         { "status", std::to_string(aStatus) },
         { "outcome", aOutcome },
         { "tries", std::to_string(aTrace.attemptCount) },
-        { "ms", MillisecondsText(aTrace.duration) } });
+        { "ms", MillisecondsText(aTrace.duration) },
+        { "caller", aTrace.callerClosed ? "closed" : "open" } });
 }
 
 } // namespace lacewing
--- a/src/gateway/RequestTrace.h
+++ b/src/gateway/RequestTrace.h
@@ -23,6 +23,8 @@
   ServiceId service;
   unsigned attemptCount = 0;
   Duration duration{};
+  /** The caller may not have received the response. */
+  bool callerClosed = false;
 };
 
 /** Logs an attempt that ended, with the values its target was chosen by. */
