Deliver answers that arrived before the deadline's timer is handled

Callers saw: 504 for a request whose answer had arrived in time. Change: OneShotTimer handles an expiry behind the events of the same step. The deadline, hedges and rechecks of an Exchange, the rounds of a TargetSearch and the Gateway's own timers use it; there is no bare timer left in src/gateway.

--- a/src/core/OneShotTimer.cpp
+++ b/src/core/OneShotTimer.cpp
@@ -1,5 +1,6 @@
 #include "core/OneShotTimer.h"
 
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
@@ -25,15 +26,26 @@
     timer.async_wait([self = weak_from_this(),
                       armed = ++round](const asio::error_code& aError) {
       const auto impl = self.lock();
-      if (aError || !impl || impl->round != armed) {
-        return;
-      }
-      // The handler may arm the timer again or destroy its owner.
-      if (const Handler run = std::exchange(impl->handler, nullptr)) {
-        run();
+      if (!aError && impl && impl->round == armed) {
+        // Results of what was read in this step are queued already.
+        asio::post(impl->timer.get_executor(),
+                   [self, armed] { RunIfCurrent(self, armed); });
       }
     });
   }
+
+  static void RunIfCurrent(const std::weak_ptr<Impl>& aSelf,
+                           std::uint64_t aArmed)
+  {
+    const auto impl = aSelf.lock();
+    if (!impl || impl->round != aArmed) {
+      return;
+    }
+    // The handler may arm the timer again or destroy its owner.
+    if (const Handler run = std::exchange(impl->handler, nullptr)) {
+      run();
+    }
+  }
 };
 
 OneShotTimer::OneShotTimer(asio::io_context& aContext)
--- a/src/core/OneShotTimer.h
+++ b/src/core/OneShotTimer.h
@@ -13,8 +13,9 @@
 /**
  * Calls a handler once at a set time. A handler never runs after Cancel(), a
  * later Arm() or the timer's end, even if its time has come: asio's cancel()
- * does not take back a handler that is already queued. Belongs to the thread
- * that runs the io_context.
+ * does not take back a handler that is already queued. Events that the thread
+ * noticed together with the expiry are handled before, so that they can cancel
+ * the timer. Belongs to the thread that runs the io_context.
  */
 class OneShotTimer
 {
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -92,28 +92,26 @@
 
 void Exchange::ArmDeadline()
 {
-  deadlineTimer_.expires_at(deadline_);
-  deadlineTimer_.async_wait([self = weak_from_this()](
-                              const asio::error_code& aError) {
-    const auto exchange = self.lock();
-    if (aError || !exchange || exchange->done_) {
-      return;
+  deadlineTimer_.ArmAt(deadline_, [self = weak_from_this()] {
+    if (const auto exchange = self.lock()) {
+      exchange->OnDeadline();
     }
-    exchange->FinishLocally(exchange->sent_ > 0 ? LocalResponseKind::kTimedOut
-                                                : LocalResponseKind::kRefused);
   });
 }
 
+void Exchange::OnDeadline()
+{
+  FinishLocally(sent_ > 0 ? LocalResponseKind::kTimedOut
+                          : LocalResponseKind::kRefused);
+}
+
 void Exchange::ArmHedge(Duration aAfter, bool aLast)
 {
-  stepTimer_.expires_after(aAfter);
-  stepTimer_.async_wait(
-    [self = weak_from_this(), aLast](const asio::error_code& aError) {
-      const auto exchange = self.lock();
-      if (!aError && exchange && !exchange->done_) {
-        exchange->OnHedge(aLast);
-      }
-    });
+  stepTimer_.Arm(aAfter, [self = weak_from_this(), aLast] {
+    if (const auto exchange = self.lock()) {
+      exchange->OnHedge(aLast);
+    }
+  });
 }
 
 bool Exchange::LooksStuck(const Attempt& aAttempt) const
@@ -307,14 +305,11 @@
 
 void Exchange::ScheduleRecheck(void (Exchange::*aStep)())
 {
-  stepTimer_.expires_after(kRecheckInterval);
-  stepTimer_.async_wait(
-    [self = weak_from_this(), aStep](const asio::error_code& aError) {
-      const auto exchange = self.lock();
-      if (!aError && exchange && !exchange->done_) {
-        (exchange.get()->*aStep)();
-      }
-    });
+  stepTimer_.Arm(kRecheckInterval, [self = weak_from_this(), aStep] {
+    if (const auto exchange = self.lock()) {
+      (exchange.get()->*aStep)();
+    }
+  });
 }
 
 void Exchange::FinishFailed()
@@ -401,8 +396,8 @@
 void Exchange::End()
 {
   done_ = true;
-  deadlineTimer_.cancel();
-  stepTimer_.cancel();
+  deadlineTimer_.Cancel();
+  stepTimer_.Cancel();
   CancelAttempts();
   state_.Open().Remove(this);
 }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -2,6 +2,7 @@
 #define GATEWAY_EXCHANGE_H
 
 #include "balance/AttemptResult.h"
+#include "core/OneShotTimer.h"
 #include "gateway/Attempt.h"
 #include "gateway/LocalResponse.h"
 #include "gateway/RequestTrace.h"
@@ -9,8 +10,6 @@
 #include "gateway/TrafficState.h"
 #include "http/HttpMessage.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -60,6 +59,7 @@
   std::string FieldOf(const std::string& aName) const;
   void Begin();
   void ArmDeadline();
+  void OnDeadline();
   /** Calls OnHedge(aLast) after aAfter. */
   void ArmHedge(Duration aAfter, bool aLast);
   /**
@@ -119,8 +119,8 @@
   HttpMessage lastResponse_;
   AttemptId nextAttempt_;
   TargetFinder finder_;
-  asio::steady_timer deadlineTimer_;
-  asio::steady_timer stepTimer_;
+  OneShotTimer deadlineTimer_;
+  OneShotTimer stepTimer_;
   /** The caller has closed the connection or ended its sending side. */
   bool callerClosed_ = false;
   bool done_ = false;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "core/Log.h"
+#include "core/OneShotTimer.h"
 #include "core/RunContext.h"
 #include "gateway/CallerSession.h"
 #include "gateway/TrafficState.h"
@@ -9,7 +10,6 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <set>
@@ -33,8 +33,8 @@
   asio::io_context context{ 1 };
   asio::ip::tcp::acceptor acceptor;
   std::uint16_t port = 0;
-  asio::steady_timer cleanUp;
-  asio::steady_timer acceptPause;
+  OneShotTimer cleanUp;
+  OneShotTimer acceptPause;
   TrafficState state;
   std::set<std::shared_ptr<CallerSession>> sessions;
   std::thread thread;
@@ -86,9 +86,8 @@
         }
         if (aError) {
           Log(LogLevel::kWarning, "accept", { { "error", aError.message() } });
-          acceptPause.expires_after(kAcceptPause);
-          acceptPause.async_wait([this](const asio::error_code& aWaitError) {
-            if (!aWaitError && acceptor.is_open()) {
+          acceptPause.Arm(kAcceptPause, [this] {
+            if (acceptor.is_open()) {
               Accept();
             }
           });
@@ -111,12 +110,9 @@
 
   void ScheduleCleanUp()
   {
-    cleanUp.expires_after(kCleanUpPeriod);
-    cleanUp.async_wait([this](const asio::error_code& aError) {
-      if (!aError) {
-        state.CleanUp();
-        ScheduleCleanUp();
-      }
+    cleanUp.Arm(kCleanUpPeriod, [this] {
+      state.CleanUp();
+      ScheduleCleanUp();
     });
   }
 
--- a/src/gateway/TargetSearch.cpp
+++ b/src/gateway/TargetSearch.cpp
@@ -129,10 +129,8 @@
 
 void TargetSearch::ArmTimer()
 {
-  timer_.expires_after(kRoundTimeout);
-  timer_.async_wait([self = weak_from_this()](const asio::error_code& aError) {
-    const auto search = self.lock();
-    if (!aError && search && !search->done_) {
+  timer_.Arm(kRoundTimeout, [self = weak_from_this()] {
+    if (const auto search = self.lock()) {
       search->NextRound();
     }
   });
@@ -267,7 +265,7 @@
 void TargetSearch::End()
 {
   done_ = true;
-  timer_.cancel();
+  timer_.Cancel();
   bool waiting = false;
   for (const auto& probe : probes_) {
     if (probe->completed && probe->connection) {
@@ -277,14 +275,11 @@
   }
   if (waiting) {
     state_.Open().Add(shared_from_this());
-    timer_.expires_after(kLateResponseTime);
-    timer_.async_wait(
-      [self = weak_from_this()](const asio::error_code& aError) {
-        const auto search = self.lock();
-        if (!aError && search) {
-          search->DropUnresponsive();
-        }
-      });
+    timer_.Arm(kLateResponseTime, [self = weak_from_this()] {
+      if (const auto search = self.lock()) {
+        search->DropUnresponsive();
+      }
+    });
   }
 }
 
--- a/src/gateway/TargetSearch.h
+++ b/src/gateway/TargetSearch.h
@@ -3,12 +3,11 @@
 
 #include "balance/Candidate.h"
 #include "balance/ChoiceContext.h"
+#include "core/OneShotTimer.h"
 #include "gateway/FoundTarget.h"
 #include "gateway/TrafficState.h"
 #include "http/ExchangeResult.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -88,7 +87,7 @@
   const ServiceId service_;
   ChoiceContext context_;
   Handler handler_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   /** Owns the targets that ranked_ points to. */
   std::shared_ptr<const FleetSnapshot> fleet_;
   /** Candidates that were not probed yet, the best first. */
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -176,3 +176,24 @@
   CHECK(StatusOf(caller.ReadToEnd(std::chrono::milliseconds(300))) == 502);
   CHECK(gateway.Counters().callerDisconnects == 1);
 }
+
+// Guards against telling the caller of a timeout although the target's answer
+// had arrived before the deadline.
+TEST_CASE("gateway: an answer that has arrived is delivered at the deadline")
+{
+  GatewayTarget target([](const std::string& aId, int) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return SignedResponse(aId, "ok " + aId);
+  });
+  TestGateway gateway({ &target }, kTimeout);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
+  while (target.Runs() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  std::atomic<bool> release{ false };
+  gateway.Occupy(release);
+  std::this_thread::sleep_for(kBusy);
+  release = true;
+  CheckAnswered(gateway, caller);
+}
--- a/tests/OneShotTimerTest.cpp
+++ b/tests/OneShotTimerTest.cpp
@@ -1,6 +1,7 @@
 #include "core/OneShotTimer.h"
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <memory>
@@ -76,3 +77,19 @@
   context.run();
   CHECK(runs == 2);
 }
+
+// Guards against a timeout that acts although the event which it waits for
+// came first and its handler is queued.
+TEST_CASE("timer: events of the same step are handled before the expiry")
+{
+  asio::io_context context(1);
+  asio::steady_timer event(context, 1ms);
+  OneShotTimer timer(context);
+  int runs = 0;
+  event.async_wait([&](const asio::error_code&) {
+    asio::post(context, [&] { timer.Cancel(); });
+  });
+  timer.Arm(2ms, [&] { ++runs; });
+  RunLate(context);
+  CHECK(runs == 0);
+}
