--- a/tests/support/ScriptedTarget.h
+++ b/tests/support/ScriptedTarget.h
@@ -21,8 +21,9 @@
  * the protocol. The script receives the number of the request, counted from 1,
  * and the request, and returns the response. An empty response closes
  * the connection. Bytes after kDelayMarker are sent 20 ms later. At
- * kCloseMarker the connection is closed; the bytes after it are not sent. If a
- * response has no Lacewing-Request-Id, the request's is added.
+ * kCloseMarker the connection is closed, at kResetMarker it is reset; the bytes
+ * after it are not sent. If a response has no Lacewing-Request-Id, the
+ * request's is added.
  */
 class ScriptedTarget
 {
@@ -31,6 +32,7 @@
 
   static constexpr const char* kCloseMarker = "\x01";
   static constexpr const char* kDelayMarker = "\x02";
+  static constexpr const char* kResetMarker = "\x03";
 
   /** The header line with aRequest's id; empty if the request has no id. */
   static std::string RequestIdLine(const std::string& aRequest)
@@ -61,15 +63,21 @@
   }
   /** Number of requests received. */
   int Runs() const { return runs_; }
+  /** Number of connections accepted. */
+  int Connections() const { return connections_; }
+  /** For scripts: the number of the connection that is answered, from 1. */
+  int Connection() const { return connection_; }
 
 private:
   struct Session
   {
-    explicit Session(asio::ip::tcp::socket aSocket)
+    Session(asio::ip::tcp::socket aSocket, int aNumber)
       : socket(std::move(aSocket))
+      , number(aNumber)
     {
     }
     asio::ip::tcp::socket socket;
+    int number;
     std::array<char, 65536> buffer{};
     std::string received;
   };
@@ -79,7 +87,7 @@
     acceptor_.async_accept(
       [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
         if (!aError) {
-          Read(std::make_shared<Session>(std::move(aSocket)));
+          Read(std::make_shared<Session>(std::move(aSocket), ++connections_));
           Accept();
         }
       });
@@ -118,6 +126,7 @@
   void Respond(const std::shared_ptr<Session>& aSession,
                const std::string& aRequest)
   {
+    connection_ = aSession->number;
     std::string response = script_(++runs_, aRequest);
     if (response.find("Lacewing-Request-Id: ") == std::string::npos) {
       const std::size_t statusEnd = response.find('\n');
@@ -125,7 +134,8 @@
         statusEnd == std::string::npos ? 0 : statusEnd + 1,
         response.compare(0, 5, "HTTP/") == 0 ? RequestIdLine(aRequest) : "");
     }
-    const std::size_t end = response.find(kCloseMarker);
+    const std::size_t resetAt = response.find(kResetMarker);
+    const std::size_t end = std::min(response.find(kCloseMarker), resetAt);
     const std::size_t delayAt = std::min(response.find(kDelayMarker), end);
     asio::error_code error;
     asio::write(
@@ -139,10 +149,16 @@
     if (!error && end == std::string::npos && !response.empty()) {
       Read(aSession);
     }
+    if (resetAt == end && end != std::string::npos) {
+      aSession->socket.set_option(asio::socket_base::linger(true, 0), error);
+      aSession->socket.close(error);
+    }
   }
 
   Script script_;
   std::atomic<int> runs_{ 0 };
+  std::atomic<int> connections_{ 0 };
+  std::atomic<int> connection_{ 0 };
   asio::io_context context_;
   asio::ip::tcp::acceptor acceptor_;
   std::thread thread_;
