Fail a call whose answer's head broke off

Callers saw: a 200 with an empty body, framed as whole and marked as ran, from lacewing-entryd when the target closed in the middle of the head. Cause: libcurl 7.88 reports success for a head without its empty line if the part that arrived announces no body: length 0, 204, 304, or an answer to HEAD. Classify() did not ask whether the head was complete. The request's id is compared at the empty line only, so it was not compared either. An interim answer with a length counted as the final one. Change: an answer counts only once the empty line of a final head was read. Bodies with a length or chunks were recognized as cut before, except for a last line feed behind which nothing can be missing.

--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -42,6 +42,7 @@
   sendBegun_ = false;
   tooLarge_ = false;
   foreign_ = false;
+  headDone_ = false;
 
   if (!sameEndpoint) {
     const std::string url = "http://" + call_.endpoint.ToString() + "/";
@@ -99,8 +100,9 @@
   result.end = Classify(aCode);
   if (result.end != HttpCallEnd::kAnswered) {
     result.error = foreign_            ? "the answer is another request's"
-                   : aCode == CURLE_OK ? "the answer has no stated length"
-                                       : curl_easy_strerror(aCode);
+                   : aCode != CURLE_OK ? curl_easy_strerror(aCode)
+                   : headDone_         ? "the answer has no stated length"
+                                       : "the answer's head broke off";
   }
   result.response = std::move(response_);
   Release();
@@ -119,7 +121,9 @@
     return HttpCallEnd::kTooLarge;
   }
   if (aCode == CURLE_OK) {
-    return BodyIsDelimited() ? HttpCallEnd::kAnswered : HttpCallEnd::kLost;
+    // libcurl 7.88 also reports success when the peer closed within the head.
+    return headDone_ && BodyIsDelimited() ? HttpCallEnd::kAnswered
+                                          : HttpCallEnd::kLost;
   }
   long sent = 0;
   curl_easy_getinfo(handle_, CURLINFO_REQUEST_SIZE, &sent);
@@ -194,11 +198,13 @@
   }
   // An empty line ends the fields; those of an interim answer need no echo.
   constexpr int kFirstFinalStatus = 200;
-  if (line.empty() && self.response_.status >= kFirstFinalStatus &&
-      !self.IsOurs()) {
-    // The transfer fails, so that libcurl closes the connection.
-    self.foreign_ = true;
-    return 0;
+  if (line.empty() && self.response_.status >= kFirstFinalStatus) {
+    if (!self.IsOurs()) {
+      // The transfer fails, so that libcurl closes the connection.
+      self.foreign_ = true;
+      return 0;
+    }
+    self.headDone_ = true;
   }
   self.AddResponseField(line);
   return length;
--- a/src/net/CurlEasyPriv.h
+++ b/src/net/CurlEasyPriv.h
@@ -58,6 +58,8 @@
   bool sendBegun_ = false;
   bool tooLarge_ = false;
   bool foreign_ = false;
+  /** Whether the final answer's head was read to its empty line. */
+  bool headDone_ = false;
 };
 
 } // namespace lacewing
--- a/tests/EntryFailureTest.cpp
+++ b/tests/EntryFailureTest.cpp
@@ -58,6 +58,16 @@
       return std::string("HTTP/1.1 200 OK\r\nConte") +
              ScriptedTarget::kCloseMarker;
     },
+    // Half of a head that announces no body.
+    [](int, const std::string&) {
+      return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Fie") +
+             ScriptedTarget::kCloseMarker;
+    },
+    // A head without its empty line, of an answer without a body.
+    [](int, const std::string&) {
+      return std::string("HTTP/1.1 204 No Content\r\n") +
+             ScriptedTarget::kCloseMarker;
+    },
     // A body that ends with the connection, whose end may be missing.
     [](int, const std::string&) {
       return std::string("HTTP/1.1 200 OK\r\n\r\nabc") +
