Give each attempt at a target a request id of its own

Callers saw: a request that runs at most once ran twice. Cause: both attempts of a request had the same Lacewing-Request-Id. If the only target refused the first attempt and wrote that refusal once more on the kept connection, it was taken for the refusal of the second attempt, which ran, and a third attempt was sent. Change: lacewing-entryd adds the attempt's number to the id.

--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -181,8 +181,11 @@
   call.endpoint = aAction.endpoint;
   call.method = pending.method;
   call.target = pending.target;
+  // Each attempt has an id of its own, since a second one may go to the same
+  // target, where an answer to the first one may come late.
   call.echo = RequestTranslator::IdField(
-    options_.requestIdPrefix + std::to_string(aAction.request.value()));
+    options_.requestIdPrefix + std::to_string(aAction.request.value()) + "-" +
+    std::to_string(aAction.attempt.value()));
   call.fields =
     RequestTranslator::FieldsForTarget(pending.fields, *call.echo, remaining);
   call.body = pending.body;
--- a/tests/EntryFailureTest.cpp
+++ b/tests/EntryFailureTest.cpp
@@ -292,6 +292,28 @@
   }
 }
 
+// Guards against taking a target's earlier refusal, written once more, for the
+// refusal of the second attempt, which runs: the request would run again.
+TEST_CASE("a refusal of the first attempt never ends the second one")
+{
+  std::string refusal;
+  const Seen seen = Ask(
+    [&refusal](int aRun, const std::string& aRequest) {
+      const std::string id = ScriptedTarget::RequestIdLine(aRequest);
+      if (aRun == 1) {
+        refusal = "HTTP/1.1 503 Busy\r\nTarget-Not-Run: 1\r\n"
+                  "Content-Length: 0\r\n" +
+                  id + "\r\n";
+        return refusal;
+      }
+      return (aRun == 2 ? refusal + ScriptedTarget::kDelayMarker : "") +
+             OkResponse("ok", id);
+    },
+    "POST");
+  CHECK(seen.runs == 2);
+  CHECK(seen.outcome == "unknown");
+}
+
 // Guards against a caller's close that leaves its request running.
 TEST_CASE("the caller's close cancels the attempt at the target")
 {
