Take a refusal for proof only if it must belong to the request

Callers saw: "not run" (503) for a request that runs at most once and that ran, or a second run of it at another target. Cause: any failure without a request id was the answer to whichever request waited on the connection. A target that wrote an earlier refusal once more, of a request or of a probe, so ended the next request as not run. Change: the id decides; a failure without one is assigned by its place. It proves something only on a connection where no such answer came before, none to another request was skipped, and no byte follows it; otherwise the outcome is unknown and the answer is not passed on. A connection that such an answer used up still serves probes, but a request goes out on a new one. Bytes or a close that arrived before a request is written are noticed first.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -216,8 +216,8 @@
   OutgoingRequest request;
   request.head = RequestHead(attempt.target);
   request.body = body_;
-  request.isOurs = [&names = state_.Names(), id = id_](const HttpHead& aHead) {
-    return BelongsToRequest(aHead, names, id);
+  request.match = [&names = state_.Names(), id = id_](const HttpHead& aHead) {
+    return MatchResponse(aHead, names, id);
   };
   attempt.connection->Send(
     std::move(request),
--- a/src/gateway/ProbeReading.cpp
+++ b/src/gateway/ProbeReading.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned kHealthy = 200;
+constexpr unsigned kFirstFailure = 400;
 
 Duration ReadColdLeft(const std::string* aField)
 {
@@ -61,10 +62,14 @@
   return head;
 }
 
-bool BelongsToProbe(const HttpHead& aResponse, const HeaderNames& aNames)
+AnswerMatch MatchProbe(const HttpHead& aResponse, const HeaderNames& aNames)
 {
-  return aResponse.fields.Find(aNames.requestId) == nullptr &&
-         aResponse.fields.Find(aNames.signature) == nullptr;
+  if (aResponse.fields.Find(aNames.requestId) != nullptr ||
+      aResponse.fields.Find(aNames.signature) != nullptr) {
+    return AnswerMatch::kForeign;
+  }
+  return aResponse.status >= kFirstFailure ? AnswerMatch::kByPosition
+                                           : AnswerMatch::kCertain;
 }
 
 } // namespace lacewing
--- a/src/gateway/ProbeReading.h
+++ b/src/gateway/ProbeReading.h
@@ -3,6 +3,7 @@
 
 #include "balance/LoadReading.h"
 #include "gateway/HeaderNames.h"
+#include "http/AnswerMatch.h"
 #include "http/ExchangeResult.h"
 #include "lacewing/Endpoint.h"
 
@@ -25,10 +26,11 @@
 HttpHead ProbeHead(const std::string& aHealthPath, const Endpoint& aTarget);
 
 /**
- * Whether a response may belong to a probe. One with a request id or a
- * signature does not: it is a late response to a caller's request.
+ * How a response relates to a probe. One with a request id or a signature is
+ * foreign: it is a late response to a caller's request. A refused probe is
+ * assigned by its position, because the refusal of a request may look the same.
  */
-bool BelongsToProbe(const HttpHead& aResponse, const HeaderNames& aNames);
+AnswerMatch MatchProbe(const HttpHead& aResponse, const HeaderNames& aNames);
 
 } // namespace lacewing
 
--- a/src/gateway/ResponseCheck.cpp
+++ b/src/gateway/ResponseCheck.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr unsigned kFirstFailure = 400;
 constexpr unsigned kMisdirected = 421;
 
 bool PromisesNotRun(unsigned aStatus)
@@ -28,15 +29,17 @@
 
 } // namespace
 
-bool BelongsToRequest(const HttpHead& aResponse,
-                      const HeaderNames& aNames,
-                      const std::string& aId)
+AnswerMatch MatchResponse(const HttpHead& aResponse,
+                          const HeaderNames& aNames,
+                          const std::string& aId)
 {
   const std::string* id = aResponse.fields.Find(aNames.requestId);
-  if (id == nullptr) {
-    return aId.empty() || aResponse.status >= 400;
+  if (id != nullptr) {
+    return *id == aId ? AnswerMatch::kCertain : AnswerMatch::kForeign;
   }
-  return *id == aId;
+  return aId.empty() || aResponse.status >= kFirstFailure
+           ? AnswerMatch::kByPosition
+           : AnswerMatch::kForeign;
 }
 
 AttemptResult ClassifyAttempt(const ExchangeResult& aResult,
@@ -44,7 +47,8 @@
 {
   switch (aResult.end) {
     case ExchangeEnd::kAnswered:
-      return ClassifyResponse(aResult.answer.head, aNames);
+      return aResult.identified ? ClassifyResponse(aResult.answer.head, aNames)
+                                : AttemptResult::kUnknown;
     case ExchangeEnd::kNotSent:
       return AttemptResult::kNotSent;
     case ExchangeEnd::kLost:
--- a/src/gateway/ResponseCheck.h
+++ b/src/gateway/ResponseCheck.h
@@ -3,6 +3,7 @@
 
 #include "balance/AttemptResult.h"
 #include "gateway/HeaderNames.h"
+#include "http/AnswerMatch.h"
 #include "http/ExchangeResult.h"
 
 #include <string>
@@ -10,16 +11,19 @@
 namespace lacewing {
 
 /**
- * Whether a response head belongs to the request with id aId: it repeats the
- * id, or it has no id and an error status (400 and above), as when a target
- * refuses a request before reading it. A request without an id accepts any
- * response that has none either.
+ * How a response head relates to the request with id aId. The id decides. A
+ * response without one is assigned by its position if it has an error status
+ * (400 and above), as when a target refuses a request before reading it, or if
+ * the request has no id either.
  */
-bool BelongsToRequest(const HttpHead& aResponse,
-                      const HeaderNames& aNames,
-                      const std::string& aId);
+AnswerMatch MatchResponse(const HttpHead& aResponse,
+                          const HeaderNames& aNames,
+                          const std::string& aId);
 
-/** Classifies the end of an exchange with a target. */
+/**
+ * Classifies the end of an exchange with a target. A response that may belong
+ * to another request states nothing about this one.
+ */
 AttemptResult ClassifyAttempt(const ExchangeResult& aResult,
                               const HeaderNames& aNames);
 
--- a/src/gateway/TargetConnectionPool.cpp
+++ b/src/gateway/TargetConnectionPool.cpp
@@ -48,11 +48,18 @@
     std::unique_ptr<HttpConnection> connection =
       std::move(connections.free.back());
     connections.free.pop_back();
-    if (connection->Reusable() && !Expired(*connection)) {
+    if (connection->Reusable() && !Expired(*connection) &&
+        connection->Quiet()) {
       connection->SetIdleEndHandler(nullptr);
       return connection;
     }
   }
+  return Open(aTarget);
+}
+
+std::unique_ptr<HttpConnection> TargetConnectionPool::Open(
+  const TargetSpec& aTarget) const
+{
   ConnectionOptions options;
   options.endpoint = aTarget.endpoint;
   options.limits.maxBody = kMaxResponse;
--- a/src/gateway/TargetConnectionPool.h
+++ b/src/gateway/TargetConnectionPool.h
@@ -27,6 +27,9 @@
   /** The most recently used free connection, or a new one. */
   std::unique_ptr<HttpConnection> Take(const TargetSpec& aTarget);
 
+  /** A new connection. */
+  std::unique_ptr<HttpConnection> Open(const TargetSpec& aTarget) const;
+
   /** Returns a connection to the pool; closes it if it cannot be reused. */
   void Put(const TargetSpec& aTarget,
            std::unique_ptr<HttpConnection> aConnection);
--- a/src/gateway/TargetSearch.cpp
+++ b/src/gateway/TargetSearch.cpp
@@ -146,8 +146,8 @@
   ++state_.Counters().probes;
   OutgoingRequest request;
   request.head = ProbeHead(healthPath_, aTarget.spec.endpoint);
-  request.isOurs = [&names = state_.Names()](const HttpHead& aHead) {
-    return BelongsToProbe(aHead, names);
+  request.match = [&names = state_.Names()](const HttpHead& aHead) {
+    return MatchProbe(aHead, names);
   };
   sent->connection->Send(
     std::move(request),
@@ -259,6 +259,11 @@
   found.spec = aProbe.target.spec;
   found.choice = Judge(aProbe.target);
   found.connection = std::move(aProbe.connection);
+  // A response that the target writes once more must not be taken for the
+  // response to the request.
+  if (!found.connection->Unambiguous() || !found.connection->Quiet()) {
+    found.connection = state_.Pool().Open(found.spec);
+  }
   Finish(std::move(found));
 }
 
--- a/src/http/ExchangeResult.h
+++ b/src/http/ExchangeResult.h
@@ -14,6 +14,11 @@
   ExchangeEnd end = ExchangeEnd::kLost;
   /** The answer, with kAnswered. */
   HttpMessage answer;
+  /**
+   * Whether the answer is proved to belong to the request. False for one that
+   * its place alone assigns, on a connection where that place is in doubt.
+   */
+  bool identified = true;
   /** What failed, for logs. */
   std::string detail;
 };
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -65,6 +65,8 @@
   bool reading = false;
   bool writing = false;
   bool reusable = true;
+  /** Whether an answer that is assigned by its place proves nothing. */
+  bool ambiguous = false;
   /** Interim answers and those to other requests since the last Send(). */
   unsigned skipped = 0;
   TimePoint idleSince;
@@ -97,7 +99,10 @@
   }
 
   /** Ends the request; later, so that a handler may destroy the owner. */
-  void Finish(ExchangeEnd aEnd, std::string aDetail, HttpMessage aAnswer = {})
+  void Finish(ExchangeEnd aEnd,
+              std::string aDetail,
+              HttpMessage aAnswer = {},
+              bool aIdentified = true)
   {
     if (!handler) {
       return;
@@ -107,7 +112,11 @@
     }
     idleSince = clock.Now();
     request = OutgoingRequest();
-    ExchangeResult result{ aEnd, std::move(aAnswer), std::move(aDetail) };
+    ExchangeResult result;
+    result.end = aEnd;
+    result.answer = std::move(aAnswer);
+    result.identified = aIdentified;
+    result.detail = std::move(aDetail);
     asio::post(context,
                [self = shared_from_this(),
                 done = std::exchange(handler, nullptr),
@@ -242,18 +251,23 @@
   {
     reusable = false;
     parser.FeedEnd();
-    if (parser.Whole() && IsOurs()) {
-      FinishAnswer(true);
-      return;
+    if (parser.Whole()) {
+      const AnswerMatch match = Match();
+      if (match != AnswerMatch::kForeign) {
+        FinishAnswer(match, false);
+        return;
+      }
     }
     Finish(ExchangeEnd::kLost,
            parser.Started() ? "the answer broke off" : "closed unanswered");
   }
 
-  bool IsOurs() const
+  AnswerMatch Match() const
   {
-    return parser.Head().status / 100 != 1 &&
-           (!request.isOurs || request.isOurs(parser.Head()));
+    if (parser.Head().status / 100 == 1) {
+      return AnswerMatch::kForeign;
+    }
+    return request.match ? request.match(parser.Head()) : AnswerMatch::kCertain;
   }
 
   void Consume(std::string_view aBytes)
@@ -267,8 +281,9 @@
       if (!parser.Whole()) {
         break;
       }
-      if (IsOurs()) {
-        FinishAnswer(!aBytes.empty());
+      const AnswerMatch match = Match();
+      if (match != AnswerMatch::kForeign) {
+        FinishAnswer(match, !aBytes.empty());
         return;
       }
       if (++skipped > kMaxSkippedAnswers) {
@@ -294,6 +309,7 @@
   {
     if (parser.Head().status / 100 != 1) {
       reusable = false;
+      ambiguous = true;
     }
     parser.Reset();
     ExpectBody();
@@ -306,8 +322,11 @@
     }
   }
 
-  void FinishAnswer(bool aMoreBytes)
+  void FinishAnswer(AnswerMatch aMatch, bool aMoreBytes)
   {
+    const bool byPosition = aMatch == AnswerMatch::kByPosition;
+    const bool identified = !byPosition || (!ambiguous && !aMoreBytes);
+    ambiguous |= byPosition;
     HttpMessage answer = parser.Take();
     if (const std::string* field = answer.head.fields.Find("Keep-Alive")) {
       keepAlive = KeepAliveTimeout(*field);
@@ -315,7 +334,7 @@
     if (aMoreBytes || writing || !answer.head.keepAlive) {
       reusable = false;
     }
-    Finish(ExchangeEnd::kAnswered, {}, std::move(answer));
+    Finish(ExchangeEnd::kAnswered, {}, std::move(answer), identified);
     if (reusable) {
       Read();
     } else {
@@ -368,6 +387,23 @@
   return impl_->reusable;
 }
 
+bool HttpConnection::Unambiguous() const
+{
+  return !impl_->ambiguous;
+}
+
+bool HttpConnection::Quiet() const
+{
+  if (impl_->phase != Impl::Phase::kOpen) {
+    return impl_->phase == Impl::Phase::kNew;
+  }
+  char byte = 0;
+  asio::error_code state;
+  impl_->socket.receive(
+    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, state);
+  return state == asio::error::would_block || state == asio::error::try_again;
+}
+
 bool HttpConnection::Busy() const
 {
   return static_cast<bool>(impl_->handler);
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -42,6 +42,16 @@
 
   /** Whether a further request may be sent on it. */
   bool Reusable() const;
+
+  /**
+   * Whether every answer so far could be told from the answers to other
+   * requests, so that a repeat of one is not taken for the next answer.
+   */
+  bool Unambiguous() const;
+
+  /** Whether the peer has neither sent unread bytes nor closed. */
+  bool Quiet() const;
+
   bool Busy() const;
 
   /** When the last answer ended; the start when there was none. */
--- a/src/http/OutgoingRequest.h
+++ b/src/http/OutgoingRequest.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_OUTGOINGREQUEST_H
 #define HTTP_OUTGOINGREQUEST_H
 
+#include "http/AnswerMatch.h"
 #include "http/HttpHead.h"
 
 #include <functional>
@@ -16,10 +17,10 @@
   /** Null for none; shared so that a second sending needs no copy. */
   std::shared_ptr<const std::string> body;
   /**
-   * Says whether an answer's head belongs to this request; others are read
-   * and dropped. Empty accepts every answer.
+   * Says whether an answer's head belongs to this request; foreign ones are
+   * read and dropped. Empty takes every answer as certain.
    */
-  std::function<bool(const HttpHead&)> isOurs;
+  std::function<AnswerMatch(const HttpHead&)> match;
 };
 
 } // namespace lacewing
