Say in the attempt's log line when a response may be another request's

Cause: an attempt that ended as unknown because of a response without an id looked in the log like one whose target had answered badly. Change: the line's detail says that the response may be the answer to another request.

--- a/src/http/ExchangeResult.h
+++ b/src/http/ExchangeResult.h
@@ -19,7 +19,7 @@
    * its place alone assigns, on a connection where that place is in doubt.
    */
   bool identified = true;
-  /** What failed, for logs. */
+  /** What failed or is in doubt, for logs. */
   std::string detail;
 };
 
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -334,7 +334,10 @@
     if (aMoreBytes || writing || !answer.head.keepAlive) {
       reusable = false;
     }
-    Finish(ExchangeEnd::kAnswered, {}, std::move(answer), identified);
+    Finish(ExchangeEnd::kAnswered,
+           identified ? "" : "may be the answer to another request",
+           std::move(answer),
+           identified);
     if (reusable) {
       Read();
     } else {
--- a/tests/HttpConnectionAmbiguityTest.cpp
+++ b/tests/HttpConnectionAmbiguityTest.cpp
@@ -75,7 +75,10 @@
   CHECK(exchanges.Run().identified);
   CHECK(!exchanges.Connection().Unambiguous());
   CHECK(exchanges.Connection().Reusable());
-  CHECK_FALSE(exchanges.Run().identified);
+  const ExchangeResult again = exchanges.Run();
+  CHECK_FALSE(again.identified);
+  CHECK(again.end == ExchangeEnd::kAnswered);
+  CHECK(again.detail == "may be the answer to another request");
 }
 
 // Guards against a request that follows bytes or a close which arrived before
