End calls between hosts and to the store by their own timeout only

What operators meet (reproduced at HttpCaller, not seen on a site): after a pause of a host its store probe, pulls from peers or probes of targets failed with "no answer in time" although the answers had arrived; a store that answers was taken for unreachable. Cause: HttpCaller's timer checked only its error code and whether some call runs. Its queued handler ran ahead of the end of the call that was read in the same step, or ended the next call of the connection at once. Change: HttpCaller uses OneShotTimer. A caller takes 88 bytes more (a timer of 120 bytes becomes a pointer of 16 to an object of 192); a host has one for each target that it probes and about seven more.

--- a/src/http/HttpCaller.cpp
+++ b/src/http/HttpCaller.cpp
@@ -1,9 +1,8 @@
 #include "http/HttpCaller.h"
 
+#include "core/OneShotTimer.h"
 #include "http/HttpConnection.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <utility>
 
 namespace lacewing {
@@ -21,7 +20,7 @@
   asio::io_context& context;
   const ConnectionOptions options;
   const Clock& clock;
-  asio::steady_timer timer;
+  OneShotTimer timer;
   std::unique_ptr<HttpConnection> connection;
   Handler handler;
 
@@ -46,7 +45,7 @@
 
   void Finish(ExchangeResult aResult)
   {
-    timer.cancel();
+    timer.Cancel();
     if (aResult.end != ExchangeEnd::kAnswered) {
       connection.reset();
     }
@@ -57,18 +56,20 @@
 
   void ArmTimeout(Duration aTimeout)
   {
-    timer.expires_after(aTimeout);
-    timer.async_wait([self = weak_from_this()](const asio::error_code& aError) {
-      const auto impl = self.lock();
-      if (aError || !impl || !impl->handler) {
-        return;
+    timer.Arm(aTimeout, [self = weak_from_this()] {
+      if (const auto impl = self.lock()) {
+        impl->OnTimeout();
       }
-      ExchangeResult result;
-      result.end = ExchangeEnd::kLost;
-      result.detail = "no answer in time";
-      impl->Finish(std::move(result));
     });
   }
+
+  void OnTimeout()
+  {
+    ExchangeResult result;
+    result.end = ExchangeEnd::kLost;
+    result.detail = "no answer in time";
+    Finish(std::move(result));
+  }
 };
 
 HttpCaller::HttpCaller(asio::io_context& aContext,
@@ -80,7 +81,7 @@
 
 HttpCaller::~HttpCaller()
 {
-  impl_->timer.cancel();
+  impl_->timer.Cancel();
   impl_->handler = nullptr;
   impl_->connection.reset();
 }
