Read what has arrived before a call ends at its timeout

What operators meet (reproduced at HttpCaller, not seen on a site): "no answer in time" after a pause of a host, for answers that had arrived: pulls of the configuration and lists of the store above 16 KB. Cause: a connection reads at most 16 KB a step, and the timeout takes effect one step after the first read. Change: HttpConnection::ReadArrived() reads until the kernel holds nothing more; the timeout of a call uses it and lets an answer that is complete then end the call. Result: 'a large answer that has arrived is read at the timeout' failed before (3 of 3 runs, 48 KB) and passes in 3 of 3.

--- a/src/http/HttpCaller.cpp
+++ b/src/http/HttpCaller.cpp
@@ -65,6 +65,10 @@
 
   void OnTimeout()
   {
+    connection->ReadArrived();
+    if (!connection->Busy()) {
+      return;
+    }
     ExchangeResult result;
     result.end = ExchangeEnd::kLost;
     result.detail = "no answer in time";
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "http/AsyncRead.h"
 #include "http/MessageBytes.h"
 #include "http/MessageParser.h"
+#include "http/ReadBuffer.h"
 #include "http/SocketOptions.h"
 
 #include <asio/buffer.hpp>
@@ -203,6 +204,21 @@
               });
   }
 
+  /** The wait of Read() stays pending and finds nothing more to read. */
+  void ReadArrived()
+  {
+    ReadBuffer& buffer = ThreadReadBuffer();
+    while (handler && phase == Phase::kOpen) {
+      asio::error_code error;
+      const std::size_t count = socket.read_some(asio::buffer(buffer), error);
+      if (error == asio::error::would_block ||
+          error == asio::error::try_again) {
+        return;
+      }
+      OnRead(error, std::string_view(buffer.data(), count));
+    }
+  }
+
   void OnRead(const asio::error_code& aError, std::string_view aBytes)
   {
     if (phase != Phase::kOpen) {
@@ -358,6 +374,11 @@
   impl_->Read();
 }
 
+void HttpConnection::ReadArrived()
+{
+  impl_->ReadArrived();
+}
+
 void HttpConnection::SetIdleEndHandler(std::function<void()> aHandler)
 {
   impl_->idleEnd = std::move(aHandler);
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -37,6 +37,13 @@
   /** Sends a request; the connection must be Reusable() and not busy. */
   void Send(OutgoingRequest aRequest, Handler aHandler);
 
+  /**
+   * Reads what has arrived, so that a timeout which is handled late does not
+   * drop an answer that came in time. If that ends the request, Busy() is false
+   * and its handler runs next.
+   */
+  void ReadArrived();
+
   /** Called once when the peer closes an idle connection or writes on it. */
   void SetIdleEndHandler(std::function<void()> aHandler);
 
--- a/tests/HttpCallerTest.cpp
+++ b/tests/HttpCallerTest.cpp
@@ -17,6 +17,8 @@
 constexpr auto kTimeout = 300ms;
 // The thread is busy for longer than the timeout.
 constexpr auto kBusy = 400ms;
+// More than a connection reads in one step, less than the kernel holds.
+constexpr std::size_t kLargeBody = 48U << 10U;
 
 /** A server and a caller whose connection to it is open. */
 struct Fixture
@@ -74,6 +76,17 @@
   CHECK(fix.result->end == ExchangeEnd::kAnswered);
 }
 
+// Guards against the same for an answer that takes several reads.
+TEST_CASE("http caller: a large answer that has arrived is read at the timeout")
+{
+  Fixture fix(std::string(kLargeBody, 'x'));
+  fix.Call("/second");
+  KeepBusy(fix.context, kBusy);
+  REQUIRE(RunUntil(fix.context, [&] { return fix.result.has_value(); }));
+  CHECK(fix.result->end == ExchangeEnd::kAnswered);
+  CHECK(fix.result->answer.body.size() == kLargeBody);
+}
+
 // Guards against ending a call at the timeout of the call before it.
 TEST_CASE("http caller: the timeout of an ended call does not end the next one")
 {
