Read what a target has sent before the deadline ends its request

Callers saw: 504 for a request whose answer of more than 16 KB had arrived in time. Cause: the deadline is handled one step after the first read of a busy thread, and a connection reads at most 16 KB a step. Change: the deadline first reads what the kernel holds. If that ends an attempt, the deadline is handled again behind it, so that other attempts still end.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -101,10 +101,25 @@
 
 void Exchange::OnDeadline()
 {
+  if (ReadArrived()) {
+    // Handled behind the ends of these attempts, which are queued.
+    ArmDeadline();
+    return;
+  }
   FinishLocally(sent_ > 0 ? LocalResponseKind::kTimedOut
                           : LocalResponseKind::kRefused);
 }
 
+bool Exchange::ReadArrived()
+{
+  bool ended = false;
+  for (const Attempt& attempt : attempts_) {
+    attempt.connection->ReadArrived();
+    ended |= !attempt.connection->Busy();
+  }
+  return ended;
+}
+
 void Exchange::ArmHedge(Duration aAfter, bool aLast)
 {
   stepTimer_.Arm(aAfter, [self = weak_from_this(), aLast] {
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -60,6 +60,8 @@
   void Begin();
   void ArmDeadline();
   void OnDeadline();
+  /** Reads what the targets sent; whether the end of an attempt is queued. */
+  bool ReadArrived();
   /** Calls OnHedge(aLast) after aAfter. */
   void ArmHedge(Duration aAfter, bool aLast);
   /**
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -197,3 +197,25 @@
   release = true;
   CheckAnswered(gateway, caller);
 }
+
+// Guards against the same for an answer that takes several reads.
+TEST_CASE("gateway: a large answer that has arrived is read at the deadline")
+{
+  // More than a connection reads in one step, less than the kernel holds.
+  const std::string body(48U << 10U, 'x');
+  GatewayTarget target([&body](const std::string& aId, int) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return SignedResponse(aId, body + "ok " + aId);
+  });
+  TestGateway gateway({ &target }, kTimeout);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
+  while (target.Runs() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  std::atomic<bool> release{ false };
+  gateway.Occupy(release);
+  std::this_thread::sleep_for(kBusy);
+  release = true;
+  CheckAnswered(gateway, caller);
+}
