Keep the small servers' connections open while a request is answered

What scrapers and peers meet (reproduced, not seen on a site): a connection closed without an answer when a request came shortly before 30 s without traffic had passed. Cause: the idle timer ran on while a request was answered, and its queued handler closed the connection of a request read in the same step. Change: the timer is cancelled when a request is read and armed anew for the writing of its answer; it is a OneShotTimer. The time can be set, for tests.

--- a/src/http/SmallHttpServer.cpp
+++ b/src/http/SmallHttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/SmallHttpServer.h"
 
+#include "core/OneShotTimer.h"
 #include "http/AsyncRead.h"
 #include "http/MessageBytes.h"
 #include "http/MessageParser.h"
@@ -8,7 +9,6 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <string>
@@ -19,15 +19,17 @@
 namespace {
 
 const ParserLimits kLimits{ ByteCount(8U << 10U), ByteCount(64U << 10U) };
-// A peer or the platform asks every few seconds at least; others are dropped.
-constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(asio::ip::tcp::socket aSocket, SmallHttpServer::Handler aHandler)
+  Session(asio::io_context& aContext,
+          asio::ip::tcp::socket aSocket,
+          Duration aTimeout,
+          SmallHttpServer::Handler aHandler)
     : socket_(std::move(aSocket))
-    , timer_(socket_.get_executor())
+    , timeout_(aTimeout)
+    , timer_(aContext)
     , parser_(MessageSide::kRequest, kLimits)
     , handler_(std::move(aHandler))
   {
@@ -42,17 +44,15 @@
   }
 
 private:
+  /** Limits the time of the read or write that begins. */
   void ArmTimer()
   {
-    timer_.expires_after(kIdleTimeout);
-    timer_.async_wait(
-      [self = weak_from_this()](const asio::error_code& aError) {
-        const auto session = self.lock();
-        if (!aError && session) {
-          asio::error_code ignored;
-          session->socket_.close(ignored);
-        }
-      });
+    timer_.Arm(timeout_, [self = weak_from_this()] {
+      if (const auto session = self.lock()) {
+        asio::error_code ignored;
+        session->socket_.close(ignored);
+      }
+    });
   }
 
   void Read()
@@ -81,6 +81,7 @@
       Read();
       return;
     }
+    timer_.Cancel();
     HttpMessage request = parser_.Take();
     keepAlive_ = request.head.keepAlive;
     handler_(std::move(request),
@@ -93,10 +94,12 @@
   {
     aAnswer.head.keepAlive = keepAlive_;
     out_ = AnswerHeadBytes(aAnswer.head, aAnswer.body.size()) + aAnswer.body;
+    ArmTimer();
     asio::async_write(
       socket_,
       asio::buffer(out_),
       [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
+        self->timer_.Cancel();
         self->out_ = std::string();
         if (!aError && self->keepAlive_) {
           self->Consume();
@@ -105,7 +108,8 @@
   }
 
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  const Duration timeout_;
+  OneShotTimer timer_;
   MessageParser parser_;
   SmallHttpServer::Handler handler_;
   std::string pending_;
@@ -117,12 +121,16 @@
 
 struct SmallHttpServer::Impl : std::enable_shared_from_this<Impl>
 {
+  asio::io_context& context;
   asio::ip::tcp::acceptor acceptor;
   Handler handler;
+  const Duration timeout;
 
-  Impl(asio::io_context& aContext, Handler aHandler)
-    : acceptor(aContext)
+  Impl(asio::io_context& aContext, Handler aHandler, Duration aTimeout)
+    : context(aContext)
+    , acceptor(aContext)
     , handler(std::move(aHandler))
+    , timeout(aTimeout)
   {
   }
 
@@ -135,7 +143,9 @@
           return;
         }
         if (!aError) {
-          std::make_shared<Session>(std::move(aSocket), self->handler)->Start();
+          std::make_shared<Session>(
+            self->context, std::move(aSocket), self->timeout, self->handler)
+            ->Start();
         }
         self->Accept();
       });
@@ -156,9 +166,10 @@
 Outcome<std::unique_ptr<SmallHttpServer>> SmallHttpServer::Make(
   asio::io_context& aContext,
   const Endpoint& aEndpoint,
-  Handler aHandler)
+  Handler aHandler,
+  Duration aTimeout)
 {
-  auto impl = std::make_shared<Impl>(aContext, std::move(aHandler));
+  auto impl = std::make_shared<Impl>(aContext, std::move(aHandler), aTimeout);
   asio::error_code error;
   const asio::ip::tcp::endpoint endpoint(
     asio::ip::make_address(aEndpoint.address, error), aEndpoint.port);
--- a/src/http/SmallHttpServer.h
+++ b/src/http/SmallHttpServer.h
@@ -24,9 +24,19 @@
   using Responder = std::function<void(HttpMessage)>;
   using Handler = std::function<void(HttpMessage, Responder)>;
 
-  /** Listens at once; fails when the address cannot be bound. */
-  static Outcome<std::unique_ptr<SmallHttpServer>>
-  Make(asio::io_context& aContext, const Endpoint& aEndpoint, Handler aHandler);
+  // A peer or the platform asks every few seconds at least.
+  static constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
+
+  /**
+   * Listens at once; fails when the address cannot be bound. A connection is
+   * closed when it is idle for aTimeout, or when its peer takes that long to
+   * receive an answer.
+   */
+  static Outcome<std::unique_ptr<SmallHttpServer>> Make(
+    asio::io_context& aContext,
+    const Endpoint& aEndpoint,
+    Handler aHandler,
+    Duration aTimeout = kDefaultTimeout);
 
   ~SmallHttpServer();
   SmallHttpServer(const SmallHttpServer&) = delete;
