Use OneShotTimer in src/fleet

Cause: one kind of timer for all, so that none depends on its handler's checks. No handler here could act on outdated state. Change: OneShotTimer for the tick, the first read and the retry of the host list.

--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FleetControl.h"
 
 #include "core/Log.h"
+#include "core/OneShotTimer.h"
 #include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
 #include "fleet/HostDirectory.h"
@@ -10,8 +11,6 @@
 #include "fleet/WatchElection.h"
 #include "metrics/MetricsPage.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -42,8 +41,8 @@
   const Clock& clock;
   const HostIdentity identity;
   CatalogSource& source;
-  asio::steady_timer tick;
-  asio::steady_timer firstReadTimer;
+  OneShotTimer tick;
+  OneShotTimer firstReadTimer;
   CatalogReplica replica;
   CatalogView view;
   CatalogPuller puller;
@@ -256,11 +255,9 @@
    */
   void ScheduleFirstRead()
   {
-    firstReadTimer.expires_after(firstReadDelay);
-    firstReadTimer.async_wait([self = weak_from_this()](
-                                const asio::error_code& aError) {
+    firstReadTimer.Arm(firstReadDelay, [self = weak_from_this()] {
       const auto impl = self.lock();
-      if (!aError && impl &&
+      if (impl &&
           impl->replica.RevisionOf(CatalogKind::kConfiguration) == Revision()) {
         impl->source.ReadOnce();
       }
@@ -269,10 +266,8 @@
 
   void ScheduleTick()
   {
-    tick.expires_after(kTick);
-    tick.async_wait([self = weak_from_this()](const asio::error_code& aError) {
-      const auto impl = self.lock();
-      if (!aError && impl) {
+    tick.Arm(kTick, [self = weak_from_this()] {
+      if (const auto impl = self.lock()) {
         impl->OnTick();
         impl->ScheduleTick();
       }
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -1,8 +1,7 @@
 #include "fleet/HostDirectory.h"
 
 #include "core/Log.h"
-
-#include <asio/steady_timer.hpp>
+#include "core/OneShotTimer.h"
 
 #include <utility>
 
@@ -19,7 +18,7 @@
   const HostIdentity identity;
   CatalogSource& source;
   Handler handler;
-  asio::steady_timer timer;
+  OneShotTimer timer;
   bool registered = false;
   bool registrationStarted = false;
   bool listRequested = false;
@@ -85,14 +84,11 @@
   {
     Log(
       LogLevel::kWarning, "host-directory", { { "error", aError.ToString() } });
-    timer.expires_after(kRetryDelay);
-    timer.async_wait(
-      [self = weak_from_this(), aStep](const asio::error_code& aFailed) {
-        const auto impl = self.lock();
-        if (!aFailed && impl) {
-          ((*impl).*aStep)();
-        }
-      });
+    timer.Arm(kRetryDelay, [self = weak_from_this(), aStep] {
+      if (const auto impl = self.lock()) {
+        ((*impl).*aStep)();
+      }
+    });
   }
 };
 
