Add a wait without an owner to OneShotTimer

Cause: the command-line tool and the load tool wait with timers that only their own handler keeps alive; an OneShotTimer of that kind would own itself. Change: RunAfter(), which the io_context owns and which cannot be cancelled.

--- a/src/core/OneShotTimer.cpp
+++ b/src/core/OneShotTimer.cpp
@@ -48,6 +48,19 @@
   }
 };
 
+void OneShotTimer::RunAfter(asio::io_context& aContext,
+                            Duration aAfter,
+                            Handler aHandler)
+{
+  const auto timer = std::make_shared<asio::steady_timer>(aContext, aAfter);
+  timer->async_wait(
+    [timer, handler = std::move(aHandler)](const asio::error_code& aError) {
+      if (!aError) {
+        handler();
+      }
+    });
+}
+
 OneShotTimer::OneShotTimer(asio::io_context& aContext)
   : impl_(std::make_shared<Impl>(aContext))
 {
--- a/src/core/OneShotTimer.h
+++ b/src/core/OneShotTimer.h
@@ -22,6 +22,14 @@
 public:
   using Handler = std::function<void()>;
 
+  /**
+   * Calls aHandler once after aAfter. It cannot be cancelled and is dropped
+   * with the io_context; for waits without an owner.
+   */
+  static void RunAfter(asio::io_context& aContext,
+                       Duration aAfter,
+                       Handler aHandler);
+
   explicit OneShotTimer(asio::io_context& aContext);
   ~OneShotTimer();
   OneShotTimer(const OneShotTimer&) = delete;
--- a/tests/OneShotTimerTest.cpp
+++ b/tests/OneShotTimerTest.cpp
@@ -93,3 +93,28 @@
   RunLate(context);
   CHECK(runs == 0);
 }
+
+// Guards against a wait without an owner that is lost or runs twice.
+TEST_CASE("timer: a wait without an owner runs its handler once")
+{
+  asio::io_context context(1);
+  int runs = 0;
+  const auto begin = std::chrono::steady_clock::now();
+  OneShotTimer::RunAfter(context, 5ms, [&] { ++runs; });
+  context.run();
+  CHECK(runs == 1);
+  CHECK(std::chrono::steady_clock::now() - begin >= 5ms);
+}
+
+// Guards against a handler that outlives the io_context which it waits in.
+TEST_CASE("timer: a wait without an owner ends with its io_context")
+{
+  const auto held = std::make_shared<int>(0);
+  {
+    asio::io_context context(1);
+    OneShotTimer::RunAfter(context, 1h, [held] { ++*held; });
+    CHECK(held.use_count() == 2);
+  }
+  CHECK(held.use_count() == 1);
+  CHECK(*held == 0);
+}
