Keep a timer in a connection only while it is connecting

Cause: each kept connection to a target held the timer of its connecting. Its queued handler did no harm, since it checked the phase. Change: the timer is a OneShotTimer that exists while connecting.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpConnection.h"
 
+#include "core/OneShotTimer.h"
 #include "http/AsyncRead.h"
 #include "http/MessageBytes.h"
 #include "http/MessageParser.h"
@@ -9,7 +10,6 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <cassert>
@@ -60,7 +60,8 @@
   const ConnectionOptions options;
   const Clock& clock;
   asio::ip::tcp::socket socket;
-  asio::steady_timer connectTimer;
+  /** Exists only while connecting, since idle connections are kept. */
+  std::optional<OneShotTimer> connectTimer;
   MessageParser parser;
   Phase phase = Phase::kNew;
   bool reading = false;
@@ -82,7 +83,6 @@
     , options(aOptions)
     , clock(aClock)
     , socket(aContext)
-    , connectTimer(aContext)
     , parser(MessageSide::kAnswer, aOptions.limits)
     , idleSince(aClock.Now())
   {
@@ -92,7 +92,7 @@
   {
     phase = Phase::kClosed;
     reusable = false;
-    connectTimer.cancel();
+    connectTimer.reset();
     asio::error_code ignored;
     socket.close(ignored);
   }
@@ -129,13 +129,12 @@
       Finish(ExchangeEnd::kNotSent, "bad address");
       return;
     }
-    connectTimer.expires_after(options.connectTimeout);
-    connectTimer.async_wait(
-      [self = shared_from_this()](const asio::error_code& aError) {
-        if (!aError && self->phase == Phase::kConnecting) {
-          self->Finish(ExchangeEnd::kNotSent, "connecting took too long");
-        }
-      });
+    connectTimer.emplace(context);
+    connectTimer->Arm(options.connectTimeout, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->Finish(ExchangeEnd::kNotSent, "connecting took too long");
+      }
+    });
     socket.async_connect(
       { address, options.endpoint.port },
       [self = shared_from_this()](const asio::error_code& aError) {
@@ -148,7 +147,7 @@
     if (phase != Phase::kConnecting) {
       return;
     }
-    connectTimer.cancel();
+    connectTimer.reset();
     if (aError) {
       Finish(ExchangeEnd::kNotSent, "connect: " + aError.message());
       return;
--- a/tests/HttpCallerTest.cpp
+++ b/tests/HttpCallerTest.cpp
@@ -107,6 +107,26 @@
   CHECK(fix.result->end == ExchangeEnd::kAnswered);
 }
 
+// Guards against giving up a connection that opened in time while the thread
+// was busy.
+TEST_CASE("http caller: a connection that opened in time is used")
+{
+  asio::io_context context(1);
+  const MonotonicClock clock;
+  const ScriptedTarget server(
+    [](int, const std::string&) { return OkResponse("ok"); });
+  ConnectionOptions options = Fixture::Options(server);
+  options.connectTimeout = 100ms;
+  HttpCaller caller(context, options, clock);
+  std::optional<ExchangeResult> result;
+  caller.Call(HttpMessage(), 2 * kBusy, [&](ExchangeResult aResult) {
+    result = std::move(aResult);
+  });
+  KeepBusy(context, 200ms);
+  REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+  CHECK(result->end == ExchangeEnd::kAnswered);
+}
+
 // Guards against calls that wait for a silent server without end.
 TEST_CASE("http caller: a call without an answer ends at its timeout")
 {
