Use OneShotTimer in src/control

Cause: one kind of timer for all. RepeatingTimer's handler could run after its end on an io_context that goes on; no daemon does that. Change: OneShotTimer, also inside RepeatingTimer.

--- a/src/control/ConfigFollower.cpp
+++ b/src/control/ConfigFollower.cpp
@@ -5,8 +5,7 @@
 #include "config/ConfigLimits.h"
 #include "config/HeadCodec.h"
 #include "core/Log.h"
-
-#include <asio/steady_timer.hpp>
+#include "core/OneShotTimer.h"
 
 #include <algorithm>
 #include <deque>
@@ -79,7 +78,7 @@
   void Stop()
   {
     stopped_ = true;
-    timer_.cancel();
+    timer_.Cancel();
   }
 
 private:
@@ -272,10 +271,9 @@
   void Pause(milliseconds aTime)
   {
     busy_ = false;
-    timer_.expires_after(aTime);
-    timer_.async_wait([weak = weak_from_this()](const std::error_code& aError) {
+    timer_.Arm(aTime, [weak = weak_from_this()] {
       const auto self = weak.lock();
-      if (!aError && self && !self->stopped_) {
+      if (self && !self->stopped_) {
         self->ReadHead();
       }
     });
@@ -285,7 +283,7 @@
   ConfigState& configs_;
   ControlTerms terms_;
   ConfigFollowerCounts counts_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   std::mt19937_64 random_;
   milliseconds backOff_ = kFirstBackOff;
   bool started_ = false;
--- a/src/control/RepeatingTimer.h
+++ b/src/control/RepeatingTimer.h
@@ -1,10 +1,9 @@
 #ifndef CONTROL_REPEATINGTIMER_H
 #define CONTROL_REPEATINGTIMER_H
 
+#include "core/OneShotTimer.h"
 #include "lacewing/Clock.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <functional>
 
 namespace lacewing {
@@ -24,15 +23,10 @@
 private:
   void Wait(Duration aTime)
   {
-    timer_.expires_after(aTime);
-    timer_.async_wait([this](const asio::error_code& aError) {
-      if (!aError) {
-        Wait(handler_());
-      }
-    });
+    timer_.Arm(aTime, [this] { Wait(handler_()); });
   }
 
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   std::function<Duration()> handler_;
 };
 
