Use OneShotTimer in src/net

Cause: one kind of timer for all. The handlers of CurlMulti and MessageClient checked their state, so that a queued one at most armed the timer again. Change: OneShotTimer and its RunAfter().

--- a/src/net/CurlMulti.cpp
+++ b/src/net/CurlMulti.cpp
@@ -189,8 +189,8 @@
     ActSoon();
     return;
   }
-  due_ = asio::steady_timer::clock_type::now() +
-         std::chrono::milliseconds(aMilliseconds);
+  due_ =
+    std::chrono::steady_clock::now() + std::chrono::milliseconds(aMilliseconds);
   // A timer that fires too early costs less than one that is set anew for
   // each call.
   if (!armed_ || *due_ < *armed_) {
@@ -201,17 +201,16 @@
 void CurlMulti::ArmTimer()
 {
   armed_ = due_;
-  timer_.expires_at(*due_);
-  timer_.async_wait([alive = alive_](const asio::error_code& aError) {
+  timer_.ArmAt(*due_, [alive = alive_] {
     CurlMulti* self = alive->self;
-    if (aError || self == nullptr) {
+    if (self == nullptr) {
       return;
     }
     self->armed_.reset();
     if (!self->due_) {
       return;
     }
-    if (asio::steady_timer::clock_type::now() < *self->due_) {
+    if (std::chrono::steady_clock::now() < *self->due_) {
       self->ArmTimer();
       return;
     }
--- a/src/net/CurlMultiPriv.h
+++ b/src/net/CurlMultiPriv.h
@@ -1,9 +1,11 @@
 #ifndef NET_CURLMULTIPRIV_H
 #define NET_CURLMULTIPRIV_H
 
+#include "core/OneShotTimer.h"
+#include "lacewing/Clock.h"
+
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <curl/curl.h>
 
@@ -59,11 +61,11 @@
   void CollectDone();
 
   asio::io_context& context_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   /** When libcurl wants to be called; empty for never. */
-  std::optional<asio::steady_timer::time_point> due_;
+  std::optional<TimePoint> due_;
   /** When timer_ fires; it may be earlier than due_. */
-  std::optional<asio::steady_timer::time_point> armed_;
+  std::optional<TimePoint> armed_;
   bool actQueued_ = false;
   DoneHandler done_;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> watches_;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpServer.h"
 
+#include "core/OneShotTimer.h"
 #include "net/MeteredSocketPriv.h"
 
 #include <restinio/all.hpp>
@@ -36,6 +37,8 @@
   {
   }
 
+  asio::io_context& Context() { return context_; }
+
   void Register(restinio::connection_id_t aConnection,
                 const std::shared_ptr<Responder>& aResponder)
   {
@@ -172,10 +175,9 @@
       asio::async_write(
         *socket,
         asio::buffer(*answer),
-        [socket, answer, aPause](const asio::error_code&, std::size_t) {
-          const auto timer = std::make_shared<asio::steady_timer>(
-            socket->get_executor(), aPause);
-          timer->async_wait([socket, answer, timer](const asio::error_code&) {
+        [socket, answer, aPause, &context = listener_->Context()](
+          const asio::error_code&, std::size_t) {
+          OneShotTimer::RunAfter(context, aPause, [socket, answer] {
             asio::async_write(
               *socket,
               asio::buffer(*answer),
--- a/src/net/MessageClient.cpp
+++ b/src/net/MessageClient.cpp
@@ -1,10 +1,10 @@
 #include "net/MessageClient.h"
 
+#include "core/OneShotTimer.h"
 #include "net/FrameCodec.h"
 #include "net/WebSocketConfigPriv.h"
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/core_client.hpp>
 
@@ -67,13 +67,13 @@
   {
     std::uniform_int_distribution<std::int64_t> jitter(backOff.count() / 2,
                                                        backOff.count());
-    timer.expires_after(std::chrono::milliseconds(jitter(random)));
-    timer.async_wait([weak = weak_from_this()](const std::error_code& aError) {
-      const auto self = weak.lock();
-      if (!aError && self && !self->stopped) {
-        self->Connect();
-      }
-    });
+    timer.Arm(std::chrono::milliseconds(jitter(random)),
+              [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                if (self && !self->stopped) {
+                  self->Connect();
+                }
+              });
     backOff = std::min(backOff * 2, kLongestBackOff);
   }
 
@@ -160,7 +160,7 @@
   void Stop()
   {
     stopped = true;
-    timer.cancel();
+    timer.Cancel();
     // A connection that is still being opened is closed once it is open,
     // because websocketpp cannot cancel the opening.
     if (std::exchange(open, false)) {
@@ -179,7 +179,7 @@
   MessageClientHandlers handlers;
   Transport transport;
   connection_hdl handle;
-  asio::steady_timer timer;
+  OneShotTimer timer;
   std::mt19937_64 random;
   std::chrono::milliseconds backOff = kFirstBackOff;
   bool open = false;
