Use OneShotTimer in src/entry

Cause: one kind of timer for all. A queued handler of RequestForwarder called the engine once too early, which checks the time itself. Change: OneShotTimer.

--- a/src/entry/EntryControl.cpp
+++ b/src/entry/EntryControl.cpp
@@ -242,12 +242,9 @@
 
 void EntryControl::ScheduleTick()
 {
-  tick_.expires_after(kTickPeriod);
-  tick_.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      Tick();
-      ScheduleTick();
-    }
+  tick_.Arm(kTickPeriod, [this] {
+    Tick();
+    ScheduleTick();
   });
 }
 
--- a/src/entry/EntryControl.h
+++ b/src/entry/EntryControl.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_ENTRYCONTROL_H
 #define ENTRY_ENTRYCONTROL_H
 
+#include "core/OneShotTimer.h"
 #include "entry/ConfigReceiver.h"
 #include "entry/ControldEvents.h"
 #include "entry/ControldLink.h"
@@ -12,8 +13,6 @@
 #include "entry/SnapshotBuilder.h"
 #include "entry/TrafficWorker.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <memory>
 #include <vector>
 
@@ -79,7 +78,7 @@
   ReportCollector reports_;
   HeldGrants grants_;
   EntryState state_;
-  asio::steady_timer tick_;
+  OneShotTimer tick_;
   /** Ticks until the configuration is asked for again; zero for never. */
   unsigned ticksToWant_ = 0;
   /** Null with a controld. */
--- a/src/entry/GracefulStop.cpp
+++ b/src/entry/GracefulStop.cpp
@@ -40,12 +40,7 @@
   begun_ = true;
   Log(LogLevel::kInfo, "stop-begun");
   control_.Drain();
-  timer_.expires_after(drainDelay_);
-  timer_.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      AfterDrain();
-    }
-  });
+  timer_.Arm(drainDelay_, [this] { AfterDrain(); });
 }
 
 void GracefulStop::AfterDrain()
@@ -69,12 +64,7 @@
     context_.stop();
     return;
   }
-  timer_.expires_after(kPollPeriod);
-  timer_.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      Poll();
-    }
-  });
+  timer_.Arm(kPollPeriod, [this] { Poll(); });
 }
 
 } // namespace lacewing
--- a/src/entry/GracefulStop.h
+++ b/src/entry/GracefulStop.h
@@ -1,11 +1,11 @@
 #ifndef ENTRY_GRACEFULSTOP_H
 #define ENTRY_GRACEFULSTOP_H
 
+#include "core/OneShotTimer.h"
 #include "entry/EntryControl.h"
 #include "lacewing/Clock.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 namespace lacewing {
 
@@ -35,7 +35,7 @@
   const Clock& clock_;
   EntryControl& control_;
   std::chrono::milliseconds drainDelay_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   TimePoint giveUp_;
   bool begun_ = false;
   bool allAnswered_ = false;
--- a/src/entry/RequestForwarder.cpp
+++ b/src/entry/RequestForwarder.cpp
@@ -306,12 +306,7 @@
     return;
   }
   timerDue_ = next;
-  timer_.expires_at(
-    std::chrono::time_point_cast<std::chrono::steady_clock::duration>(*next));
-  timer_.async_wait([this](const asio::error_code& aError) {
-    if (aError) {
-      return;
-    }
+  timer_.ArmAt(*next, [this] {
     timerDue_.reset();
     Execute(engine_->OnTimer());
   });
--- a/src/entry/RequestForwarder.h
+++ b/src/entry/RequestForwarder.h
@@ -2,6 +2,7 @@
 #define ENTRY_REQUESTFORWARDER_H
 
 #include "core/BufferBudget.h"
+#include "core/OneShotTimer.h"
 #include "decision/RequestEngine.h"
 #include "entry/ForwarderOptions.h"
 #include "entry/PendingRequest.h"
@@ -9,8 +10,6 @@
 #include "entry/WorkerReport.h"
 #include "net/HttpClient.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -76,7 +75,7 @@
   RequestTranslator translator_;
   std::unique_ptr<RequestEngine> engine_;
   HttpClient client_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   std::optional<TimePoint> timerDue_;
   std::shared_ptr<BufferBudget> budget_;
   PendingMap pending_;
--- a/src/entry/TrafficWorker.cpp
+++ b/src/entry/TrafficWorker.cpp
@@ -1,5 +1,6 @@
 #include "entry/TrafficWorker.h"
 
+#include "core/OneShotTimer.h"
 #include "core/RunContext.h"
 #include "entry/AnswerWriter.h"
 #include "entry/RequestForwarder.h"
@@ -7,7 +8,6 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <thread>
 #include <utility>
@@ -56,12 +56,9 @@
 
   void ScheduleReport()
   {
-    reportTimer.expires_after(kReportPeriod);
-    reportTimer.async_wait([this](const asio::error_code& aError) {
-      if (!aError) {
-        Report();
-        ScheduleReport();
-      }
+    reportTimer.Arm(kReportPeriod, [this] {
+      Report();
+      ScheduleReport();
     });
   }
 
@@ -83,7 +80,7 @@
 
   ReportHandler report;
   asio::io_context context{ 1 };
-  asio::steady_timer reportTimer;
+  OneShotTimer reportTimer;
   std::unique_ptr<RequestForwarder> forwarder;
   std::unique_ptr<HttpServer> server;
   std::thread thread;
