Use OneShotTimer in src/ctl and src/load

Cause: one kind of timer for all; none of these is ever cancelled or replaced. Change: OneShotTimer in LoadWorker, RunAfter() elsewhere.

--- a/src/ctl/HeadWriter.cpp
+++ b/src/ctl/HeadWriter.cpp
@@ -2,8 +2,7 @@
 
 #include "config/ConfigKeys.h"
 #include "config/HeadCodec.h"
-
-#include <asio/steady_timer.hpp>
+#include "core/OneShotTimer.h"
 
 #include <algorithm>
 #include <memory>
@@ -55,9 +54,9 @@
          HeadWrite aWrite,
          TimePoint aDeadline,
          std::function<void(Outcome<void>)> aHandler)
-    : clock_(aEnvironment.clock)
+    : context_(aEnvironment.context)
+    , clock_(aEnvironment.clock)
     , store_(aStore)
-    , timer_(aEnvironment.context)
     , write_(std::move(aWrite))
     , deadline_(aDeadline)
     , handler_(std::move(aHandler))
@@ -164,13 +163,8 @@
       Fail();
       return;
     }
-    timer_.expires_after(kRepeatDelay);
-    timer_.async_wait(
-      [self = shared_from_this()](const asio::error_code& aError) {
-        if (!aError) {
-          self->Put();
-        }
-      });
+    OneShotTimer::RunAfter(
+      context_, kRepeatDelay, [self = shared_from_this()] { self->Put(); });
   }
 
   void Fail()
@@ -187,9 +181,9 @@
     handler_(outcome::failure(lastError_));
   }
 
+  asio::io_context& context_;
   const Clock& clock_;
   ObjectStore& store_;
-  asio::steady_timer timer_;
   HeadWrite write_;
   TimePoint deadline_;
   std::function<void(Outcome<void>)> handler_;
--- a/src/ctl/InForceWaiter.cpp
+++ b/src/ctl/InForceWaiter.cpp
@@ -1,10 +1,9 @@
 #include "ctl/InForceWaiter.h"
 
+#include "core/OneShotTimer.h"
 #include "ctl/BoundedLoop.h"
 #include "ctl/HostSurvey.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -27,10 +26,10 @@
          ObjectStore& aStore,
          InForceWait aWait,
          HostReportsHandler aHandler)
-    : clock_(aEnvironment.clock)
+    : context_(aEnvironment.context)
+    , clock_(aEnvironment.clock)
     , hosts_(aEnvironment.hosts)
     , store_(aStore)
-    , timer_(aEnvironment.context)
     , wait_(std::move(aWait))
     , adopted_(wait_.adoptedBlobs.begin(), wait_.adoptedBlobs.end())
     , handler_(std::move(aHandler))
@@ -93,19 +92,14 @@
       handler_(std::move(aReports));
       return;
     }
-    timer_.expires_after(kPollInterval);
-    timer_.async_wait(
-      [self = shared_from_this()](const asio::error_code& aError) {
-        if (!aError) {
-          self->Round();
-        }
-      });
+    OneShotTimer::RunAfter(
+      context_, kPollInterval, [self = shared_from_this()] { self->Round(); });
   }
 
+  asio::io_context& context_;
   const Clock& clock_;
   HostReader& hosts_;
   ObjectStore& store_;
-  asio::steady_timer timer_;
   InForceWait wait_;
   std::vector<std::pair<ObjectKey, std::string>> adopted_;
   HostReportsHandler handler_;
--- a/src/ctl/RetryingStore.cpp
+++ b/src/ctl/RetryingStore.cpp
@@ -1,6 +1,6 @@
 #include "ctl/RetryingStore.h"
 
-#include <asio/steady_timer.hpp>
+#include "core/OneShotTimer.h"
 
 #include <algorithm>
 #include <memory>
@@ -56,16 +56,12 @@
       handler(std::move(aResult));
       return;
     }
-    const auto timer = std::make_shared<asio::steady_timer>(context_, wait);
-    timer->async_wait(
-      [this, timer, aCall, aMayRepeat, handler = std::move(handler), aBackOff](
-        const asio::error_code& aError) mutable {
-        if (!aError) {
-          Run(std::move(aCall),
-              aMayRepeat,
-              std::move(handler),
-              std::min(2 * aBackOff, kLongestBackOff));
-        }
+    OneShotTimer::RunAfter(
+      context_,
+      wait,
+      [this, aCall, aMayRepeat, handler = std::move(handler), aBackOff] {
+        Run(
+          aCall, aMayRepeat, handler, std::min(2 * aBackOff, kLongestBackOff));
       });
   });
 }
--- a/src/load/LoadControl.cpp
+++ b/src/load/LoadControl.cpp
@@ -1,6 +1,8 @@
 #include "load/LoadControl.h"
 
 #include "core/Log.h"
+#include "core/MonotonicClock.h"
+#include "core/OneShotTimer.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
@@ -48,13 +50,9 @@
 
 void LoadControl::ScheduleEvent(const TimelineEvent& aEvent)
 {
-  const auto timer =
-    std::make_shared<asio::steady_timer>(context_, start_ + aEvent.at);
-  timer->async_wait([this, timer, &aEvent](const asio::error_code& aError) {
-    if (!aError) {
-      SendEvent(aEvent);
-    }
-  });
+  OneShotTimer::RunAfter(context_,
+                         start_ + aEvent.at - MonotonicClock().Now(),
+                         [this, &aEvent] { SendEvent(aEvent); });
 }
 
 void LoadControl::SendEvent(const TimelineEvent& aEvent)
@@ -97,13 +95,9 @@
     for (const auto& worker : workers_) {
       worker->SetReady(aEntry, ready);
     }
-    const auto timer = std::make_shared<asio::steady_timer>(
-      context_, experiment_->settings.readyPoll);
-    timer->async_wait([this, timer, aEntry](const asio::error_code& aError) {
-      if (!aError) {
-        PollReady(aEntry);
-      }
-    });
+    OneShotTimer::RunAfter(context_,
+                           experiment_->settings.readyPoll,
+                           [this, aEntry] { PollReady(aEntry); });
   });
 }
 
--- a/src/load/LoadControl.h
+++ b/src/load/LoadControl.h
@@ -7,7 +7,6 @@
 #include "net/HttpClient.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <memory>
--- a/src/load/LoadWorker.cpp
+++ b/src/load/LoadWorker.cpp
@@ -97,12 +97,7 @@
     StopWhenDone();
     return;
   }
-  timer_.expires_at(next_);
-  timer_.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      SendDue();
-    }
-  });
+  timer_.ArmAt(next_, [this] { SendDue(); });
 }
 
 void LoadWorker::SendDue()
--- a/src/load/LoadWorker.h
+++ b/src/load/LoadWorker.h
@@ -1,6 +1,7 @@
 #ifndef LOAD_LOADWORKER_H
 #define LOAD_LOADWORKER_H
 
+#include "core/OneShotTimer.h"
 #include "lacewing/Clock.h"
 #include "load/ArrivalProcess.h"
 #include "load/LoadExperiment.h"
@@ -10,7 +11,6 @@
 #include "net/HttpClient.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <memory>
 #include <random>
@@ -80,7 +80,7 @@
   const std::size_t maxInFlight_;
   asio::io_context context_;
   HttpClient client_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;
   std::mt19937_64 engine_;
   RequestFactory factory_;
   std::vector<EntryState> entries_;
