Save a poll of the sockets in each tick of a host's control thread

Cause: a OneShotTimer's expiry is handled behind one more poll of the sockets, and a host pays for each system call; the tick comes ten times a second. Change: the tick, which nothing cancels, waits with RunAfter().

--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -38,10 +38,10 @@
 
 struct FleetControl::Impl : std::enable_shared_from_this<Impl>
 {
+  asio::io_context& context;
   const Clock& clock;
   const HostIdentity identity;
   CatalogSource& source;
-  OneShotTimer tick;
   OneShotTimer firstReadTimer;
   CatalogReplica replica;
   CatalogView view;
@@ -68,10 +68,10 @@
        CatalogSource& aSource,
        SnapshotCell<FleetSnapshot>& aFleet,
        SnapshotCell<LoadSnapshot>& aLoad)
-    : clock(aClock)
+    : context(aContext)
+    , clock(aClock)
     , identity(aIdentity)
     , source(aSource)
-    , tick(aContext)
     , firstReadTimer(aContext)
     , view(aDecoder)
     , puller(
@@ -102,10 +102,10 @@
   {
   }
 
-  Outcome<void> Start(asio::io_context& aContext)
+  Outcome<void> Start()
   {
     BOOST_OUTCOME_TRY(
-      peers, PeerExchange::Make(aContext, clock, identity, PeerEvents()));
+      peers, PeerExchange::Make(context, clock, identity, PeerEvents()));
     CatalogSource::Events events;
     events.onChanges = [this](CatalogKind aKind,
                               const CatalogChanges& aChanges) {
@@ -266,7 +266,8 @@
 
   void ScheduleTick()
   {
-    tick.Arm(kTick, [self = weak_from_this()] {
+    // Nothing cancels a tick, and this costs one poll of the sockets less.
+    OneShotTimer::RunAfter(context, kTick, [self = weak_from_this()] {
       if (const auto impl = self.lock()) {
         impl->OnTick();
         impl->ScheduleTick();
@@ -316,7 +317,7 @@
 {
   auto impl = std::make_shared<Impl>(
     aContext, aClock, aIdentity, aOptions, aDecoder, aSource, aFleet, aLoad);
-  BOOST_OUTCOME_TRYV(impl->Start(aContext));
+  BOOST_OUTCOME_TRYV(impl->Start());
   return std::unique_ptr<FleetControl>(new FleetControl(std::move(impl)));
 }
 
