Send requests that may run only once on no connection that was closed

Callers saw: 502, outcome unknown, although the target had closed the connection before the request was sent on it. Cause: the request is sent on its probe's connection when the probe's answer is handled. A close that arrives with that answer, as on a busy thread, is read in a later step, after the request was written. Change: before such a request is sent, its connection is read once; if it was closed, the request goes on another one to the same target. This costs one call of recv for each request of these classes; others are repeated as before.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -215,6 +215,15 @@
   return head;
 }
 
+void Exchange::ReplaceClosed(Attempt& aAttempt)
+{
+  aAttempt.connection->ReadArrived();
+  while (!aAttempt.connection->Reusable()) {
+    aAttempt.connection = state_.Pool().Take(aAttempt.target);
+    aAttempt.connection->ReadArrived();
+  }
+}
+
 void Exchange::Send(FoundTarget aTarget)
 {
   Attempt attempt;
@@ -223,6 +232,9 @@
   attempt.choice = aTarget.choice;
   attempt.sentAt = state_.Now();
   attempt.connection = std::move(aTarget.connection);
+  if (RunsAtMostOnce(route_->requestClass)) {
+    ReplaceClosed(attempt);
+  }
   triedTargets_.insert(attempt.target.id);
   ++attemptCount_;
   ++sent_;
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -207,7 +207,7 @@
   void ReadArrived()
   {
     ReadBuffer& buffer = ThreadReadBuffer();
-    while (handler && phase == Phase::kOpen) {
+    while (phase == Phase::kOpen) {
       asio::error_code error;
       const std::size_t count = socket.read_some(asio::buffer(buffer), error);
       if (error == asio::error::would_block ||
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -40,7 +40,8 @@
   /**
    * Reads what has arrived, so that a timeout which is handled late does not
    * drop an answer that came in time. If that ends the request, Busy() is false
-   * and its handler runs next.
+   * and its handler runs next. If the peer has closed an idle connection,
+   * Reusable() is false.
    */
   void ReadArrived();
 
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -219,3 +219,37 @@
   release = true;
   CheckAnswered(gateway, caller);
 }
+
+// Guards against sending a request that may run only once on a connection
+// whose close has arrived but was not read yet, since its outcome would then be
+// unknown.
+TEST_CASE("gateway: a request is not sent on a connection that was closed")
+{
+  std::atomic<bool> occupied{ false };
+  const ScriptedTarget target([&](int aNumber, const std::string& aRequest) {
+    if (aRequest.rfind("GET /health ", 0) != 0) {
+      return SignedResponse("r2", "ok r2");
+    }
+    const std::string health =
+      OkResponse("", "Test-Load: 0,0,6,100\r\nTest-Cold: 0\r\n");
+    if (aNumber > 1) {
+      return health;
+    }
+    while (!occupied) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return health + ScriptedTarget::kCloseMarker;
+  });
+  TestGateway gateway(target.Address(), kPatientObjective);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
+  while (target.Runs() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  std::atomic<bool> release{ false };
+  gateway.Occupy(release);
+  occupied = true;
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  release = true;
+  CheckAnswered(gateway, caller);
+}
