--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FleetControl.h"
 
 #include "core/Log.h"
+#include "core/OneShotTimer.h"
 #include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
 #include "fleet/HostDirectory.h"
@@ -10,8 +11,6 @@
 #include "fleet/WatchElection.h"
 #include "metrics/MetricsPage.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -39,11 +38,11 @@
 
 struct FleetControl::Impl : std::enable_shared_from_this<Impl>
 {
+  asio::io_context& context;
   const Clock& clock;
   const HostIdentity identity;
   CatalogSource& source;
-  asio::steady_timer tick;
-  asio::steady_timer firstReadTimer;
+  OneShotTimer firstReadTimer;
   CatalogReplica replica;
   CatalogView view;
   CatalogPuller puller;
@@ -69,10 +68,10 @@
        CatalogSource& aSource,
        SnapshotCell<FleetSnapshot>& aFleet,
        SnapshotCell<LoadSnapshot>& aLoad)
-    : clock(aClock)
+    : context(aContext)
+    , clock(aClock)
     , identity(aIdentity)
     , source(aSource)
-    , tick(aContext)
     , firstReadTimer(aContext)
     , view(aDecoder)
     , puller(
@@ -103,10 +102,10 @@
   {
   }
 
-  Outcome<void> Start(asio::io_context& aContext)
+  Outcome<void> Start()
   {
     BOOST_OUTCOME_TRY(
-      peers, PeerExchange::Make(aContext, clock, identity, PeerEvents()));
+      peers, PeerExchange::Make(context, clock, identity, PeerEvents()));
     CatalogSource::Events events;
     events.onChanges = [this](CatalogKind aKind,
                               const CatalogChanges& aChanges) {
@@ -256,11 +255,9 @@
    */
   void ScheduleFirstRead()
   {
-    firstReadTimer.expires_after(firstReadDelay);
-    firstReadTimer.async_wait([self = weak_from_this()](
-                                const asio::error_code& aError) {
+    firstReadTimer.Arm(firstReadDelay, [self = weak_from_this()] {
       const auto impl = self.lock();
-      if (!aError && impl &&
+      if (impl &&
           impl->replica.RevisionOf(CatalogKind::kConfiguration) == Revision()) {
         impl->source.ReadOnce();
       }
@@ -269,10 +266,9 @@
 
   void ScheduleTick()
   {
-    tick.expires_after(kTick);
-    tick.async_wait([self = weak_from_this()](const asio::error_code& aError) {
-      const auto impl = self.lock();
-      if (!aError && impl) {
+    // Nothing cancels a tick, and this costs one poll of the sockets less.
+    OneShotTimer::RunAfter(context, kTick, [self = weak_from_this()] {
+      if (const auto impl = self.lock()) {
         impl->OnTick();
         impl->ScheduleTick();
       }
@@ -321,7 +317,7 @@
 {
   auto impl = std::make_shared<Impl>(
     aContext, aClock, aIdentity, aOptions, aDecoder, aSource, aFleet, aLoad);
-  BOOST_OUTCOME_TRYV(impl->Start(aContext));
+  BOOST_OUTCOME_TRYV(impl->Start());
   return std::unique_ptr<FleetControl>(new FleetControl(std::move(impl)));
 }
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -101,10 +101,25 @@
 
 void Exchange::OnDeadline()
 {
+  if (ReadArrived()) {
+    // Handled behind the ends of these attempts, which are queued.
+    ArmDeadline();
+    return;
+  }
   FinishLocally(sent_ > 0 ? LocalResponseKind::kTimedOut
                           : LocalResponseKind::kRefused);
 }
 
+bool Exchange::ReadArrived()
+{
+  bool ended = false;
+  for (const Attempt& attempt : attempts_) {
+    attempt.connection->ReadArrived();
+    ended |= !attempt.connection->Busy();
+  }
+  return ended;
+}
+
 void Exchange::ArmHedge(Duration aAfter, bool aLast)
 {
   stepTimer_.Arm(aAfter, [self = weak_from_this(), aLast] {
@@ -200,6 +215,15 @@
   return head;
 }
 
+void Exchange::ReplaceClosed(Attempt& aAttempt)
+{
+  aAttempt.connection->ReadArrived();
+  while (!aAttempt.connection->Reusable()) {
+    aAttempt.connection = state_.Pool().Take(aAttempt.target);
+    aAttempt.connection->ReadArrived();
+  }
+}
+
 void Exchange::Send(FoundTarget aTarget)
 {
   Attempt attempt;
@@ -208,6 +232,9 @@
   attempt.choice = aTarget.choice;
   attempt.sentAt = state_.Now();
   attempt.connection = std::move(aTarget.connection);
+  if (RunsAtMostOnce(route_->requestClass)) {
+    ReplaceClosed(attempt);
+  }
   triedTargets_.insert(attempt.target.id);
   ++attemptCount_;
   ++sent_;
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,14 +1,15 @@
 #include "http/HttpConnection.h"
 
+#include "core/OneShotTimer.h"
 #include "http/AsyncRead.h"
 #include "http/MessageBytes.h"
 #include "http/MessageParser.h"
+#include "http/ReadBuffer.h"
 #include "http/SocketOptions.h"
 
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <cassert>
@@ -59,7 +60,8 @@
   const ConnectionOptions options;
   const Clock& clock;
   asio::ip::tcp::socket socket;
-  asio::steady_timer connectTimer;
+  /** Exists only while connecting, since idle connections are kept. */
+  std::optional<OneShotTimer> connectTimer;
   MessageParser parser;
   Phase phase = Phase::kNew;
   bool reading = false;
@@ -83,7 +85,6 @@
     , options(aOptions)
     , clock(aClock)
     , socket(aContext)
-    , connectTimer(aContext)
     , parser(MessageSide::kAnswer, aOptions.limits)
     , idleSince(aClock.Now())
   {
@@ -93,7 +94,7 @@
   {
     phase = Phase::kClosed;
     reusable = false;
-    connectTimer.cancel();
+    connectTimer.reset();
     asio::error_code ignored;
     socket.close(ignored);
   }
@@ -137,13 +138,12 @@
       Finish(ExchangeEnd::kNotSent, "bad address");
       return;
     }
-    connectTimer.expires_after(options.connectTimeout);
-    connectTimer.async_wait(
-      [self = shared_from_this()](const asio::error_code& aError) {
-        if (!aError && self->phase == Phase::kConnecting) {
-          self->Finish(ExchangeEnd::kNotSent, "connecting took too long");
-        }
-      });
+    connectTimer.emplace(context);
+    connectTimer->Arm(options.connectTimeout, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->Finish(ExchangeEnd::kNotSent, "connecting took too long");
+      }
+    });
     socket.async_connect(
       { address, options.endpoint.port },
       [self = shared_from_this()](const asio::error_code& aError) {
@@ -156,7 +156,7 @@
     if (phase != Phase::kConnecting) {
       return;
     }
-    connectTimer.cancel();
+    connectTimer.reset();
     if (aError) {
       Finish(ExchangeEnd::kNotSent, "connect: " + aError.message());
       return;
@@ -212,6 +212,21 @@
               });
   }
 
+  /** The wait of Read() stays pending and finds nothing more to read. */
+  void ReadArrived()
+  {
+    ReadBuffer& buffer = ThreadReadBuffer();
+    while (phase == Phase::kOpen) {
+      asio::error_code error;
+      const std::size_t count = socket.read_some(asio::buffer(buffer), error);
+      if (error == asio::error::would_block ||
+          error == asio::error::try_again) {
+        return;
+      }
+      OnRead(error, std::string_view(buffer.data(), count));
+    }
+  }
+
   void OnRead(const asio::error_code& aError, std::string_view aBytes)
   {
     if (phase != Phase::kOpen) {
@@ -380,6 +395,11 @@
   impl_->Read();
 }
 
+void HttpConnection::ReadArrived()
+{
+  impl_->ReadArrived();
+}
+
 void HttpConnection::SetIdleEndHandler(std::function<void()> aHandler)
 {
   impl_->idleEnd = std::move(aHandler);
