Answer the requests that are open when a planned stop ends

Callers saw: connections closed without an answer 300 ms before the end of the grace time: requests from before SIGTERM with a later deadline, requests whose deadline timer was late on a busy thread, answers not written to their end, and requests that had arrived and were not read yet. Cause: HostDaemon stopped the process at that moment on the control thread; nothing ended what was open on the traffic thread. Change: the Gateway ends its drain itself, by a timer of the traffic thread. An expiry is handled behind the events of the same step, so answers that have arrived and earlier deadlines come first. It takes and refuses what the kernel had accepted, stops listening, ends each open request through Exchange's one way to end (502; 503 only if no attempt was sent or each was proved not to have run), lets responses be written for up to 150 ms, and reports. HostDaemon ends the process when that is reported, or 50 ms before the platform kills it. The moment of the drain's end stays 300 ms before the end of the grace time, so that no request ends sooner than before. The line event=stopped says how many requests were open and how they ended. HostDaemon's timers are OneShotTimers.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -347,6 +347,7 @@
     Close(CloseReason::kCallerReset);
     return;
   }
+  served_ = true;
   outHead_ = std::string();
   outBody_ = std::string();
   outCharge_.reset();
@@ -399,6 +400,16 @@
   }
 }
 
+void CallerSession::EndDrain()
+{
+  if (stage_ == Stage::kReading) {
+    ReadArrived();
+  }
+  if (served_) {
+    CloseIfIdle();
+  }
+}
+
 void CallerSession::RecordUnanswered(CloseReason aReason)
 {
   ++(state_.Counters().*UnansweredCounterOf(aReason));
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -32,9 +32,25 @@
   /** Closes the connection if no request is in progress or partly read. */
   void CloseIfIdle();
 
+  /**
+   * At a drain's end: reads what has arrived, and closes the connection if it
+   * is idle after a response. The first request of a new connection may still
+   * be on its way.
+   */
+  void EndDrain();
+
   /** Whether a request is in progress, partly read or waits to be read. */
   bool Busy() const;
 
+  /** Whether a request is in progress or its response is being written. */
+  bool Responding() const { return stage_ == Stage::kResponding; }
+
+  /** The last response is written, or the connection is closed. */
+  bool Ended() const
+  {
+    return stage_ == Stage::kLingering || stage_ == Stage::kClosed;
+  }
+
   /** Closes at once; logs and counts a request that is left unanswered. */
   void Close(CloseReason aReason);
 
@@ -94,6 +110,8 @@
   Stage stage_ = Stage::kReading;
   bool reading_ = false;
   bool writing_ = false;
+  /** At least one response was written. */
+  bool served_ = false;
   bool continueSent_ = false;
   bool keepAlive_ = true;
   bool isHeadRequest_ = false;
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -54,7 +54,8 @@
 {
   ++state_.Counters().requests;
   state_.RecordRequest(startedAt_);
-  state_.Open().Add(shared_from_this());
+  state_.Open().Add(shared_from_this(),
+                    [this](DrainResult& aResult) { EndDrain(aResult); });
   Begin();
 }
 
@@ -371,9 +372,8 @@
   if (done_ || RunsOn()) {
     return;
   }
-  const bool mayHaveRun = mayHaveRun_ || !attempts_.empty();
-  Finish(MakeLocalResponse(mayHaveRun ? LocalResponseKind::kOutcomeUnknown
-                                      : LocalResponseKind::kRefused,
+  Finish(MakeLocalResponse(MayHaveRun() ? LocalResponseKind::kOutcomeUnknown
+                                        : LocalResponseKind::kRefused,
                            state_.Names().requestId,
                            id_),
          "caller-gone");
@@ -393,6 +393,23 @@
   End();
 }
 
+void Exchange::EndDrain(DrainResult& aResult)
+{
+  if (done_) {
+    return;
+  }
+  ++aResult.open;
+  if (!handler_) {
+    ++aResult.abandoned;
+  } else if (MayHaveRun()) {
+    ++aResult.unknown;
+  } else {
+    ++aResult.refused;
+  }
+  FinishLocally(MayHaveRun() ? LocalResponseKind::kOutcomeUnknown
+                             : LocalResponseKind::kRefused);
+}
+
 void Exchange::End()
 {
   done_ = true;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -4,6 +4,7 @@
 #include "balance/AttemptResult.h"
 #include "core/OneShotTimer.h"
 #include "gateway/Attempt.h"
+#include "gateway/DrainResult.h"
 #include "gateway/LocalResponse.h"
 #include "gateway/RequestTrace.h"
 #include "gateway/TargetFinder.h"
@@ -52,6 +53,12 @@
    */
   void Abandon();
 
+  /**
+   * Ends the request at a drain's end with a local response, which says that it
+   * was not run only if that is certain. Counts it in aResult.
+   */
+  void EndDrain(DrainResult& aResult);
+
   /** The id that the caller set; empty without one. */
   const std::string& Id() const { return id_; }
 
@@ -92,6 +99,7 @@
   /** Stops timers and attempts; no handler runs any more. */
   void End();
   void CancelAttempts();
+  bool MayHaveRun() const { return mayHaveRun_ || !attempts_.empty(); }
   /** Whether it must be left to complete although nobody may read its end. */
   bool RunsOn() const;
   RequestTrace Trace() const;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -12,6 +12,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <thread>
 #include <utility>
@@ -25,6 +26,9 @@
 // Delay after a failed accept, as when no file descriptors are left.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 constexpr int kBacklog = 1024;
+// How often a gateway checks after a drain's end whether all responses are
+// written. Most are within the first period.
+constexpr Duration kFlushCheckPeriod = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -35,6 +39,11 @@
   std::uint16_t port = 0;
   OneShotTimer cleanUp;
   OneShotTimer acceptPause;
+  OneShotTimer drainTimer;
+  DrainHandler onDrainEnded;
+  /** When the drain ended; empty before. */
+  std::optional<TimePoint> drainEndedAt;
+  DrainResult drainResult;
   TrafficState state;
   std::set<std::shared_ptr<CallerSession>> sessions;
   std::thread thread;
@@ -46,6 +55,7 @@
     : acceptor(context)
     , cleanUp(context)
     , acceptPause(context)
+    , drainTimer(context)
     , state(context, aClock, aOptions, aFleet, aLoad)
   {
   }
@@ -123,7 +133,7 @@
   bool CloseIfQuiet(Duration aQuiet)
   {
     if (!acceptor.is_open()) {
-      return true;
+      return !drainEndedAt;
     }
     const bool accepted = AcceptPending();
     const bool busy =
@@ -133,12 +143,62 @@
     if (accepted || busy || state.Now() - state.LastRequest() < aQuiet) {
       return false;
     }
-    asio::error_code ignored;
-    acceptor.close(ignored);
+    drainTimer.Cancel();
+    StopListening();
     CloseIdle();
     return true;
   }
 
+  void StopListening()
+  {
+    asio::error_code ignored;
+    acceptor.close(ignored);
+  }
+
+  void SetDrainEnd(TimePoint aEnd)
+  {
+    if (acceptor.is_open()) {
+      state.SetDrainEnd(aEnd);
+      drainTimer.ArmAt(aEnd, [this] { EndDrain(); });
+    }
+  }
+
+  /**
+   * Ends all requests with local responses. What has arrived and was not read
+   * is read before, and refused because its deadline is after the drain's end.
+   */
+  void EndDrain()
+  {
+    drainEndedAt = state.Now();
+    AcceptPending();
+    StopListening();
+    const auto open = sessions;
+    for (const auto& session : open) {
+      session->EndDrain();
+    }
+    drainResult = state.Open().EndAll();
+    WaitUntilWritten();
+  }
+
+  void WaitUntilWritten()
+  {
+    const bool ended =
+      std::all_of(sessions.begin(), sessions.end(), [](const auto& aSession) {
+        return aSession->Ended();
+      });
+    if (!ended && state.Now() < *drainEndedAt + kFlushTime) {
+      drainTimer.Arm(kFlushCheckPeriod, [this] { WaitUntilWritten(); });
+      return;
+    }
+    drainResult.unwritten = static_cast<std::size_t>(
+      std::count_if(sessions.begin(), sessions.end(), [](const auto& aSession) {
+        return aSession->Responding();
+      }));
+    if (onDrainEnded) {
+      onDrainEnded(drainResult);
+    }
+  }
+
   /** Opens the connections that wait to be accepted; false without any. */
   bool AcceptPending()
   {
@@ -210,9 +270,12 @@
   return impl_->port;
 }
 
-void Gateway::BeginDrain(TimePoint aEnd)
+void Gateway::BeginDrain(TimePoint aEnd, DrainHandler aOnEnded)
 {
-  asio::post(impl_->context, [this, aEnd] { impl_->state.BeginDrain(aEnd); });
+  asio::post(impl_->context, [this, aEnd, onEnded = std::move(aOnEnded)] {
+    impl_->onDrainEnded = onEnded;
+    impl_->SetDrainEnd(aEnd);
+  });
 }
 
 void Gateway::SetRetryTerms(const RetryLimits& aTerms)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "balance/FleetSnapshot.h"
 #include "balance/LoadSnapshot.h"
 #include "core/SnapshotCell.h"
+#include "gateway/DrainResult.h"
 #include "gateway/GatewayCounters.h"
 #include "gateway/GatewayOptions.h"
 #include "lacewing/Clock.h"
@@ -20,6 +21,8 @@
 class Gateway
 {
 public:
+  using DrainHandler = std::function<void(const DrainResult&)>;
+
   /** Starts to listen and to serve; fails when the address cannot be bound. */
   static Outcome<std::unique_ptr<Gateway>> Make(
     const Clock& aClock,
@@ -37,9 +40,14 @@
 
   /**
    * From now on closes each connection after its response, and refuses requests
-   * whose deadline is after aEnd.
+   * whose deadline is after aEnd. At aEnd stops listening and ends what is open
+   * with local responses. Calls aOnEnded on the traffic thread once all
+   * responses are written, or kFlushTime after the drain's end.
    */
-  void BeginDrain(TimePoint aEnd);
+  void BeginDrain(TimePoint aEnd, DrainHandler aOnEnded = nullptr);
+
+  /** How long responses may take to be written after a drain's end. */
+  static constexpr Duration kFlushTime = std::chrono::milliseconds(150);
 
   void SetRetryTerms(const RetryLimits& aTerms);
 
@@ -48,8 +56,9 @@
 
   /**
    * Stops listening if no request was received for aQuiet and none is in
-   * progress or waits to be read. Calls aHandler on the traffic thread with
-   * whether the gateway no longer listens.
+   * progress or waits to be read; this also ends a drain. Calls aHandler on the
+   * traffic thread with whether the gateway was closed by this or an earlier
+   * call.
    */
   void CloseIfQuiet(Duration aQuiet, std::function<void(bool)> aHandler);
 
--- a/src/gateway/TrafficState.h
+++ b/src/gateway/TrafficState.h
@@ -70,7 +70,8 @@
 
   /** The process is about to stop: connections close after their response. */
   bool Draining() const { return drainEnd_.has_value(); }
-  void BeginDrain(TimePoint aEnd) { drainEnd_ = aEnd; }
+  /** Requests with a deadline after aEnd are refused from now on. */
+  void SetDrainEnd(TimePoint aEnd) { drainEnd_ = aEnd; }
 
   /** Whether the process may stop before a request with this deadline ends. */
   bool EndsBefore(TimePoint aDeadline) const
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -1,6 +1,7 @@
 #include "host/HostDaemon.h"
 
 #include "core/Log.h"
+#include "core/OneShotTimer.h"
 #include "fleet/CatalogPuller.h"
 #include "fleet/FleetControl.h"
 #include "gateway/Gateway.h"
@@ -8,8 +9,8 @@
 #include "http/SmallHttpServer.h"
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -33,8 +34,15 @@
 constexpr Duration kCloseTime = std::chrono::milliseconds(50);
 // How often a stopping host checks whether all requests have ended.
 constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(50);
-// Part of the grace period that is kept back for an orderly exit.
+// Part of the grace period that is kept back for an orderly exit: requests that
+// are still open then get a local response. Longer, it would end requests whose
+// targets may still answer.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(300);
+// The process ends this long before the platform kills it, even if the traffic
+// thread did not report that all responses are written.
+constexpr Duration kExitMargin = std::chrono::milliseconds(50);
+static_assert(Gateway::kFlushTime + kCloseTime + kExitMargin < kShutdownMargin,
+              "the gateway must report in time");
 
 HttpMessage TextResponse(unsigned aStatus, std::string aBody)
 {
@@ -61,13 +69,14 @@
   std::unique_ptr<SmallHttpServer> readyServer;
   std::unique_ptr<SmallHttpServer> peerServer;
   std::unique_ptr<SmallHttpServer> metricsServer;
-  asio::steady_timer stopTimer;
-  asio::steady_timer logTimer;
+  OneShotTimer stopTimer;
+  OneShotTimer limitTimer;
+  OneShotTimer logTimer;
   Duration gracePeriod;
   TimePoint stopRequestedAt;
   bool stopping = false;
   bool idleConnectionsClosed = false;
-  /** The gateway no longer listens; the process ends after kCloseTime. */
+  /** The gateway has ended its work; the process ends after kCloseTime. */
   bool closed = false;
 
   Impl(asio::io_context& aContext,
@@ -77,6 +86,7 @@
     , clock(aClock)
     , options(aOptions)
     , stopTimer(aContext)
+    , limitTimer(aContext)
     , logTimer(aContext)
     , gracePeriod(aOptions.gracePeriod)
   {
@@ -122,12 +132,9 @@
 
   void ScheduleLogFlush()
   {
-    logTimer.expires_after(kLogPeriod);
-    logTimer.async_wait([this](const asio::error_code& aError) {
-      if (!aError) {
-        FlushLog();
-        ScheduleLogFlush();
-      }
+    logTimer.Arm(kLogPeriod, [this] {
+      FlushLog();
+      ScheduleLogFlush();
     });
   }
 
@@ -176,31 +183,40 @@
     Log(LogLevel::kInfo, "stopping");
     stopRequestedAt = clock.Now();
     control->BeginLeave();
-    gateway->BeginDrain(stopRequestedAt + gracePeriod - kShutdownMargin);
+    gateway->BeginDrain(DrainEnd(), [this](const DrainResult& aResult) {
+      asio::post(context,
+                 [this, aResult] { Finish("the grace time", aResult); });
+    });
+    ArmLimit();
     ScheduleStopCheck();
   }
 
-  void ScheduleStopCheck()
+  TimePoint DrainEnd() const
   {
-    stopTimer.expires_after(kStopCheckPeriod);
-    stopTimer.async_wait([this](const asio::error_code& aError) {
-      if (!aError) {
-        OnStopCheck();
-      }
+    return stopRequestedAt + gracePeriod - kShutdownMargin;
+  }
+
+  /** Leaves the gateway its time even if the drain's end has passed already. */
+  void ArmLimit()
+  {
+    const TimePoint drainEnd = std::max(DrainEnd(), clock.Now());
+    limitTimer.ArmAt(drainEnd + kShutdownMargin - kExitMargin, [this] {
+      Log(LogLevel::kError,
+          "stopped",
+          { { "by", "the time limit" },
+            { "error", "the traffic thread did not end its requests" } });
+      context.stop();
     });
   }
 
+  void ScheduleStopCheck()
+  {
+    stopTimer.Arm(kStopCheckPeriod, [this] { OnStopCheck(); });
+  }
+
   void OnStopCheck()
   {
-    if (closed) {
-      return;
-    }
     const Duration elapsed = clock.Now() - stopRequestedAt;
-    if (elapsed >= gracePeriod - kShutdownMargin) {
-      Log(LogLevel::kWarning, "stopped", { { "by", "the grace time" } });
-      context.stop();
-      return;
-    }
     if (elapsed >= kBalancerDetectionTime) {
       if (!std::exchange(idleConnectionsClosed, true)) {
         gateway->CloseIdle();
@@ -208,24 +224,34 @@
       const Duration quiet =
         elapsed < gracePeriod - kIdleWaitCutoff ? kIdleBeforeStop : Duration(0);
       gateway->CloseIfQuiet(quiet, [this](bool aClosed) {
-        asio::post(context, [this, aClosed] { OnCloseChecked(aClosed); });
+        if (aClosed) {
+          asio::post(context, [this] { Finish("the last request's end", {}); });
+        }
       });
     }
     ScheduleStopCheck();
   }
 
-  void OnCloseChecked(bool aClosed)
+  /** Ends the process once callers can have seen the end of their connections.
+   */
+  void Finish(const char* aBy, const DrainResult& aResult)
   {
-    if (aClosed && !std::exchange(closed, true)) {
-      stopTimer.expires_after(kCloseTime);
-      stopTimer.async_wait([this](const asio::error_code& aError) {
-        if (!aError) {
-          Log(
-            LogLevel::kInfo, "stopped", { { "by", "the last request's end" } });
-          context.stop();
-        }
-      });
+    if (std::exchange(closed, true)) {
+      return;
     }
+    limitTimer.Cancel();
+    stopTimer.Arm(kCloseTime, [this, aBy, aResult] {
+      const bool cut = aResult.open > 0 || aResult.unwritten > 0;
+      Log(cut ? LogLevel::kWarning : LogLevel::kInfo,
+          "stopped",
+          { { "by", aBy },
+            { "open", std::to_string(aResult.open) },
+            { "unknown", std::to_string(aResult.unknown) },
+            { "refused", std::to_string(aResult.refused) },
+            { "abandoned", std::to_string(aResult.abandoned) },
+            { "unwritten", std::to_string(aResult.unwritten) } });
+      context.stop();
+    });
   }
 };
 
--- a/src/host/HostDaemon.h
+++ b/src/host/HostDaemon.h
@@ -36,8 +36,8 @@
   /**
    * Stops gracefully: reports not ready, hands its tasks over to other hosts
    * and closes each caller's connection after its response. The io_context is
-   * stopped when all requests have ended, or shortly before the end of the
-   * grace period.
+   * stopped when all requests have ended. Those that are still open shortly
+   * before the end of the grace period get a local response.
    */
   void Stop();
 
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -79,12 +79,16 @@
   return OkResponse("served", id + "Lacewinghoist-Server-Signature: s\r\n");
 }
 
-nlohmann::json Route(const std::string& aPrefix)
+nlohmann::json Route(const std::string& aPrefix, double aTimeoutSeconds = 3.0)
 {
-  return { { "name", aPrefix },        { "host", "127.0.0.1" },
-           { "path_prefix", aPrefix }, { "kind", "unsafe" },
-           { "timeout_s", 3.0 },       { "target_latency_s", 1.0 },
-           { "priority", 1 },          { "max_attempts", 2 },
+  return { { "name", aPrefix },
+           { "host", "127.0.0.1" },
+           { "path_prefix", aPrefix },
+           { "kind", "unsafe" },
+           { "timeout_s", aTimeoutSeconds },
+           { "target_latency_s", 1.0 },
+           { "priority", 1 },
+           { "max_attempts", 2 },
            { "service", "s" } };
 }
 
@@ -120,7 +124,7 @@
     });
   }
 
-  nlohmann::json Settings() const
+  nlohmann::json Settings(double aGraceSeconds = 6) const
   {
     return { { "node", "h1" },
              { "ip", "127.0.0.1" },
@@ -130,10 +134,30 @@
                  { "ready", ports.At(1).ToString() } } },
              { "internal_ports", { ports.Port(2), ports.Port(2) } },
              { "seeds", nlohmann::json::array() },
-             { "bounds", { { "grace_s", 6 } } },
+             { "bounds", { { "grace_s", aGraceSeconds } } },
              { "platform", { { "address", store.Address().ToString() } } } };
   }
 
+  void WriteSettings(double aGraceSeconds) const
+  {
+    std::ofstream(settings.Path()) << Settings(aGraceSeconds).dump();
+  }
+
+  /** Sends a request that no target answers before the host has stopped. */
+  std::future<int> PostEndless()
+  {
+    return std::async(std::launch::async,
+                      [this] { return Post("/a/hang", 20000ms); });
+  }
+
+  /** Makes requests outlast any grace time of these tests. */
+  void RaiseRouteTimeout()
+  {
+    store.Do([](StoreStandin& aStore) {
+      aStore.Put("config", "main", Configuration(2, Route("/a/", 20.0)));
+    });
+  }
+
   int Ready() { return StatusAt(ports.At(1), "/-/ready"); }
 
   static int StatusAt(const Endpoint& aEndpoint, const std::string& aTarget)
@@ -257,6 +281,46 @@
   CHECK(hostd.Wait(2s) == 0);
 }
 
+// Guards against a planned stop that cuts requests without an answer: one from
+// before SIGTERM whose target answers only after the grace time. A second
+// SIGTERM must not cut it sooner.
+TEST_CASE("hostd: a request that outlasts the grace time gets an answer")
+{
+  HostdFixture fix(10ms);
+  fix.RaiseRouteTimeout();
+  fix.WriteSettings(4);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  std::future<int> endless = fix.PostEndless();
+  std::this_thread::sleep_for(150ms);
+  hostd.Signal(SIGTERM);
+  CHECK(endless.wait_for(1s) == std::future_status::timeout);
+  hostd.Signal(SIGTERM);
+  // Its target may still answer.
+  CHECK(endless.wait_for(2s) == std::future_status::timeout);
+  CHECK(hostd.Wait(1s) == 0);
+  CHECK(endless.get() == 502);
+  const std::string output = hostd.Output();
+  CHECK(output.find("open=1") != std::string::npos);
+  CHECK(output.find("event=unanswered") == std::string::npos);
+}
+
+// Guards against a stop that never ends, or cuts a request, because the host
+// has not received a configuration.
+TEST_CASE("hostd: a host that is still starting stops in order")
+{
+  HostdFixture fix(10ms);
+  fix.store.Do(
+    [](StoreStandin& aStore) { aStore.SetFault(StoreFault::kUnresponsive); });
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 503; }));
+  std::future<int> early =
+    std::async(std::launch::async, [&] { return fix.Post("/a/x"); });
+  hostd.Signal(SIGTERM);
+  CHECK(early.get() == 503);
+  CHECK(hostd.Wait(6s) == 0);
+}
+
 // Guards against a failed request whose target the logs do not name: a sending
 // that was given up at the route's timeout left no line.
 TEST_CASE("hostd: the logs name the target of a request that timed out")
--- a/tests/support/TestGateway.h
+++ b/tests/support/TestGateway.h
@@ -138,6 +138,8 @@
 
   std::uint16_t Port() const { return gateway_->Port(); }
   Gateway& Get() { return *gateway_; }
+  /** Destroys the gateway. */
+  void End() { gateway_.reset(); }
 
   /** The names of the header fields that the gateway uses in these tests. */
   static HeaderNames Names()
