Let a stop in progress take over a shorter grace time

Callers saw: after a reload of the settings during a stop, a request taken whose deadline was after the new end of the grace time, and cut at that end. Cause: a reload changed when the process ends, but not the drain's end that the traffic thread had been told, up to which it takes requests. Change: HostDaemon moves the drain's end with the grace time. A longer grace time no longer prolongs a stop in progress, because the platform may kill the process at the end of either. If the new end has passed already, what is open is answered at once and has the same 150 ms to be written.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -278,6 +278,11 @@
   });
 }
 
+void Gateway::SetDrainEnd(TimePoint aEnd)
+{
+  asio::post(impl_->context, [this, aEnd] { impl_->SetDrainEnd(aEnd); });
+}
+
 void Gateway::SetRetryTerms(const RetryLimits& aTerms)
 {
   asio::post(impl_->context,
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -46,6 +46,9 @@
    */
   void BeginDrain(TimePoint aEnd, DrainHandler aOnEnded = nullptr);
 
+  /** Moves the end of the drain in progress, unless it has come already. */
+  void SetDrainEnd(TimePoint aEnd);
+
   /** How long responses may take to be written after a drain's end. */
   static constexpr Duration kFlushTime = std::chrono::milliseconds(150);
 
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -209,6 +209,17 @@
     });
   }
 
+  void SetGracePeriod(Duration aPeriod)
+  {
+    // The platform may kill the process at the end of either grace period.
+    const Duration period = stopping ? std::min(gracePeriod, aPeriod) : aPeriod;
+    const bool changed = period != std::exchange(gracePeriod, period);
+    if (stopping && changed && !closed) {
+      gateway->SetDrainEnd(DrainEnd());
+      ArmLimit();
+    }
+  }
+
   void ScheduleStopCheck()
   {
     stopTimer.Arm(kStopCheckPeriod, [this] { OnStopCheck(); });
@@ -281,7 +292,7 @@
 
 void HostDaemon::Reload(const HostOptions& aOptions)
 {
-  impl_->gracePeriod = aOptions.gracePeriod;
+  impl_->SetGracePeriod(aOptions.gracePeriod);
   impl_->control->SetColdTerms(aOptions.fleet.cold);
   impl_->gateway->SetRetryTerms(aOptions.gateway.retries);
   const HostOptions& current = impl_->options;
--- a/src/host/HostDaemon.h
+++ b/src/host/HostDaemon.h
@@ -43,8 +43,9 @@
 
   /**
    * Applies the settings that can change while the process runs: the terms of
-   * cold starts and of retries, and the grace period. All others need a
-   * restart; a change of an address, the host's name or its zone is logged.
+   * cold starts and of retries, and the grace period, of which a stop in
+   * progress takes over only a shorter one. All others need a restart; a change
+   * of an address, the host's name or its zone is logged.
    */
   void Reload(const HostOptions& aOptions);
 
--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -352,6 +352,19 @@
   CHECK(result.unwritten == 1);
 }
 
+// Guards against a stop that goes on until the end that was set first.
+TEST_CASE("gateway: the end of a drain in progress can be moved")
+{
+  GatewayTarget target(&RespondOk);
+  TestGateway gateway(target.Address(), kPatientObjective);
+  std::promise<void> ended;
+  gateway.Get().BeginDrain(After(std::chrono::hours(1)),
+                           [&ended](const DrainResult&) { ended.set_value(); });
+  gateway.Get().SetDrainEnd(After(std::chrono::milliseconds(50)));
+  CHECK(ended.get_future().wait_for(std::chrono::seconds(5)) ==
+        std::future_status::ready);
+}
+
 // Guards against a host process that ends for want of requests while the
 // answers of the last ones are still being written.
 TEST_CASE("gateway: a gateway whose drain has ended is not closed as quiet")
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -305,6 +305,66 @@
   CHECK(output.find("event=unanswered") == std::string::npos);
 }
 
+// Guards against a stop whose two ends, that of accepted requests and that of
+// the process, drift apart when the grace time is changed during the stop.
+TEST_CASE("hostd: a shorter grace time holds for a stop in progress")
+{
+  HostdFixture fix(10ms);
+  fix.RaiseRouteTimeout();
+  fix.WriteSettings(20);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  std::future<int> endless = fix.PostEndless();
+  std::this_thread::sleep_for(150ms);
+  hostd.Signal(SIGTERM);
+  std::this_thread::sleep_for(500ms);
+  fix.WriteSettings(3);
+  hostd.Signal(SIGHUP);
+  std::this_thread::sleep_for(500ms);
+  CHECK(fix.Post("/a/x", 2500ms) == 503);
+  CHECK(fix.Post("/a/x", 1000ms) == 200);
+  CHECK(hostd.Wait(2s) == 0);
+  CHECK(endless.get() == 502);
+}
+
+// Guards against a stop that waits for a grace time raised after SIGTERM: the
+// platform may kill the process at the end of the one it had promised.
+TEST_CASE("hostd: a longer grace time does not prolong a stop in progress")
+{
+  HostdFixture fix(10ms);
+  fix.RaiseRouteTimeout();
+  fix.WriteSettings(3);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  std::future<int> endless = fix.PostEndless();
+  std::this_thread::sleep_for(150ms);
+  hostd.Signal(SIGTERM);
+  std::this_thread::sleep_for(200ms);
+  fix.WriteSettings(20);
+  hostd.Signal(SIGHUP);
+  CHECK(hostd.Wait(2800ms) == 0);
+  CHECK(endless.get() == 502);
+}
+
+// Guards against a grace time that is over as soon as it is reloaded: the open
+// requests must be answered before the process ends.
+TEST_CASE("hostd: a grace time that is already over ends a stop in order")
+{
+  HostdFixture fix(10ms);
+  fix.RaiseRouteTimeout();
+  fix.WriteSettings(20);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  std::future<int> endless = fix.PostEndless();
+  std::this_thread::sleep_for(150ms);
+  hostd.Signal(SIGTERM);
+  std::this_thread::sleep_for(1500ms);
+  fix.WriteSettings(1);
+  hostd.Signal(SIGHUP);
+  CHECK(hostd.Wait(1s) == 0);
+  CHECK(endless.get() == 502);
+}
+
 // Guards against a stop that never ends, or cuts a request, because the host
 // has not received a configuration.
 TEST_CASE("hostd: a host that is still starting stops in order")
