--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -6,6 +6,7 @@
 #include "support/TempFile.h"
 
 #include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <doctest/doctest.h>
 
@@ -104,6 +105,15 @@
            { "limits", nlohmann::json::object() } };
 }
 
+bool IsListening(std::uint16_t aPort)
+{
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  asio::error_code error;
+  socket.connect({ asio::ip::address_v4::loopback(), aPort }, error);
+  return !error;
+}
+
 struct HostdFixture
 {
   explicit HostdFixture(std::chrono::milliseconds aWork)
@@ -182,14 +192,16 @@
   }
 
   template<class Condition>
-  static bool Within(std::chrono::milliseconds aLimit, Condition aCondition)
+  static bool Within(std::chrono::milliseconds aLimit,
+                     Condition aCondition,
+                     std::chrono::microseconds aPeriod = 20ms)
   {
     const auto end = std::chrono::steady_clock::now() + aLimit;
     while (!aCondition()) {
       if (std::chrono::steady_clock::now() > end) {
         return false;
       }
-      std::this_thread::sleep_for(20ms);
+      std::this_thread::sleep_for(aPeriod);
     }
     return true;
   }
@@ -381,6 +393,23 @@
   CHECK(hostd.Wait(6s) == 0);
 }
 
+// Guards against a host that is killed by SIGTERM, with the connections that it
+// has accepted, because it listens before it handles signals.
+TEST_CASE("hostd: a stop as soon as the host listens is in order")
+{
+  HostdFixture fix(10ms);
+  fix.WriteSettings(1);
+  // Not every stop hits the time between the two.
+  for (int i = 0; i < 20; ++i) {
+    CAPTURE(i);
+    Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+    REQUIRE(HostdFixture::Within(
+      8s, [&] { return IsListening(fix.ports.Port(0)); }, 50us));
+    hostd.Signal(SIGTERM);
+    CHECK(hostd.Wait(3s) == 0);
+  }
+}
+
 // Guards against a failed request whose target the logs do not name: a sending
 // that was given up at the route's timeout left no line.
 TEST_CASE("hostd: the logs name the target of a request that timed out")
