--- a/src/host/HostDaemon.h
+++ b/src/host/HostDaemon.h
@@ -36,15 +36,16 @@
   /**
    * Stops gracefully: reports not ready, hands its tasks over to other hosts
    * and closes each caller's connection after its response. The io_context is
-   * stopped when all requests have ended, or shortly before the end of the
-   * grace period.
+   * stopped when all requests have ended. Those that are still open shortly
+   * before the end of the grace period get a local response.
    */
   void Stop();
 
   /**
    * Applies the settings that can change while the process runs: the terms of
-   * cold starts and of retries, and the grace period. All others need a
-   * restart; a change of an address, the host's name or its zone is logged.
+   * cold starts and of retries, and the grace period, of which a stop in
+   * progress takes over only a shorter one. All others need a restart; a change
+   * of an address, the host's name or its zone is logged.
    */
   void Reload(const HostOptions& aOptions);
 
