Serve a caller that ends its sending side right after its request

Callers saw: 503 for each request that runs at most once and whose end came with it; they were never served, however often they came back. Cause: the request counted as running only once it had been sent. An end that arrives with the request is read while the search for a target is in progress, and the request was cancelled then. Change: such a request goes on to its target.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -289,7 +289,9 @@
 
 void Exchange::WaitForCapacity()
 {
-  if (!MayWait(state_.Now(), startedAt_, route_->latencyObjective, deadline_)) {
+  // Nothing may reach a target long after its caller has left.
+  if (callerClosed_ ||
+      !MayWait(state_.Now(), startedAt_, route_->latencyObjective, deadline_)) {
     FinishLocally(LocalResponseKind::kRefused);
     return;
   }
@@ -368,7 +370,8 @@
 {
   ++state_.Counters().callerDisconnects;
   callerClosed_ = true;
-  if (done_ || RunsOn()) {
+  // The end often arrives together with the request, before a target is found.
+  if (done_ || (route_ != nullptr && RunsAtMostOnce(route_->requestClass))) {
     return;
   }
   const bool mayHaveRun = mayHaveRun_ || !attempts_.empty();
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -159,6 +159,21 @@
   CHECK(caller.Closed());
 }
 
+// Guards against refusing the request of a caller that ends its sending side at
+// once, since no target has been found by then.
+TEST_CASE("gateway: a half-closed caller is served if its end comes at once")
+{
+  GatewayTarget target([](const std::string& aId, int) {
+    return SignedResponse(aId, "ok " + aId);
+  });
+  TestGateway gateway(target.Address(), kPatientObjective);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
+  caller.EndSending();
+  CHECK(caller.ReadToEnd().find("ok r2") != std::string::npos);
+  CHECK(target.Runs() == 1);
+}
+
 // Guards against a connection that closes without any answer when a request
 // that may be repeated is cancelled, since its caller may only have ended the
 // sending side.
