Count answered requests of half-closed callers as answered

Operators saw: event=unanswered reason=answered at level warn, and a count in lacewing_unanswered_total{reason=timeout}, which should stay 0, for each caller that had ended its sending side and had got its whole answer. Cause: the connection closed right after the write, while its stage still said that a response was due. Change: the stage is left before the connection closes.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -351,6 +351,7 @@
   outBody_ = std::string();
   outCharge_.reset();
   if (callerEnded_) {
+    stage_ = Stage::kLingering;
     Close(CloseReason::kAnswered);
     return;
   }
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -157,6 +157,7 @@
   caller.EndSending();
   CHECK(caller.ReadToEnd().find("ok r2") != std::string::npos);
   CHECK(caller.Closed());
+  CHECK(gateway.Counters().unansweredTimeout == 0);
 }
 
 // Guards against refusing the request of a caller that ends its sending side at
@@ -172,6 +173,7 @@
   caller.EndSending();
   CHECK(caller.ReadToEnd().find("ok r2") != std::string::npos);
   CHECK(target.Runs() == 1);
+  CHECK(gateway.Counters().unansweredTimeout == 0);
 }
 
 // Guards against a connection that closes without any answer when a request
