Extend the soak by slow and half-closing callers and short stops of hosts

The soak did not show the requests that were lost on kept connections: its callers paused for 20 to 140 ms, so that no connection came near its idle limit, none ended only its sending side, and no host was short of processor time without it counting as a fault.

Callers have habits: pauses up to four fifths of the idle limit on connections that they keep until the host closes them, also at stopping hosts, and requests after which the sending side ends. New planned faults: stutter-host (a stop of 50 to 400 ms), change-idle-limit (400 to 1600 ms), series (signals, restarts and configuration changes that overlap). Stopping hosts get SIGHUP as well. The last line tells how late the soak's own thread was: when the machine is that busy, hosts refuse requests, and the share of served ones falls.

--- a/tests/soak/FaultDriver.cpp
+++ b/tests/soak/FaultDriver.cpp
@@ -12,6 +12,11 @@
 // Pause between two injections; many faults last longer and so overlap.
 constexpr int kLeastPauseMs = 100;
 constexpr int kMostPauseMs = 700;
+constexpr int kLeastIdleLimitMs = 400;
+constexpr int kMostIdleLimitMs = 1600;
+constexpr int kLeastStutterMs = 50;
+constexpr int kMostStutterMs = 400;
+constexpr int kMostSeriesSteps = 8;
 constexpr Duration kLinkDelay = std::chrono::milliseconds(120);
 // A draining server keeps serving for this long, which is longer than the bound
 // within which hosts must stop sending to it.
@@ -38,6 +43,9 @@
   { "drain-server", true, &FaultDriver::DrainServer, 4000, 4000 },
   { "join-server", true, &FaultDriver::JoinServer, 1, 1 },
   { "zone-out", true, &FaultDriver::TakeZoneOut, 3000, 8000 },
+  { "change-idle-limit", true, &FaultDriver::ChangeIdleLimit, 1, 1 },
+  { "stutter-host", true, &FaultDriver::StutterHost, 50, 400 },
+  { "series", true, &FaultDriver::RunSeries, 300, 2000 },
   { "kill-host", false, &FaultDriver::KillHost, 50, 2000 },
   { "kill-all-hosts", false, &FaultDriver::KillAllHosts, 50, 1000 },
   { "pause-host", false, &FaultDriver::PauseHost, 200, 4000 },
@@ -57,6 +65,13 @@
   { "spoil-server", false, &FaultDriver::SpoilServer, 500, 4000 },
 };
 
+const std::vector<void (FaultDriver::*)(Duration)> FaultDriver::kSeriesSteps = {
+  &FaultDriver::RollHost,        &FaultDriver::ReloadHosts,
+  &FaultDriver::MoveRoute,       &FaultDriver::ChangeIdleLimit,
+  &FaultDriver::ChangeIdleLimit, &FaultDriver::StutterHost,
+  &FaultDriver::StutterHost,
+};
+
 FaultDriver::FaultDriver(SoakWorld& aWorld, const SoakOptions& aOptions)
   : world_(aWorld)
   , random_(aOptions.seed)
@@ -72,7 +87,8 @@
 void FaultDriver::Start(TimePoint aEnd)
 {
   end_ = aEnd;
-  lastEnd_ = world_.Time().Now();
+  start_ = world_.Time().Now();
+  lastEnd_ = start_;
   InjectFault();
 }
 
@@ -86,7 +102,10 @@
   std::uniform_int_distribution<int> length(fault.minMs, fault.maxMs);
   const Duration lasts = std::chrono::milliseconds(length(random_));
   std::cout
-    << "event=fault kind=" << fault.name << " for_ms="
+    << "event=fault at_ms="
+    << std::chrono::duration_cast<std::chrono::milliseconds>(now - start_)
+         .count()
+    << " kind=" << fault.name << " for_ms="
     << std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count()
     << '\n';
   (this->*fault.inject)(lasts);
@@ -111,7 +130,7 @@
     });
   // Planned changes leave more than half of the hosts in service.
   if (static_cast<std::size_t>(running) > hosts.size() / 2 + 1) {
-    PickHost().Terminate();
+    PickHost().Terminate(world_.Terms().grace);
   }
 }
 
@@ -164,31 +183,76 @@
   });
 }
 
+void FaultDriver::ChangeIdleLimit(Duration)
+{
+  std::uniform_int_distribution<int> limit(kLeastIdleLimitMs, kMostIdleLimitMs);
+  world_.SetIdleLimit(std::chrono::milliseconds(limit(random_)));
+}
+
+/** A pause as a busy machine causes it; too short to cost a request. */
+void FaultDriver::StutterHost(Duration aLength)
+{
+  SoakHost& host = PickHost();
+  if (!host.Paused()) {
+    host.Pause();
+    world_.After(aLength, [&host] { host.Resume(); });
+  }
+}
+
+void FaultDriver::RunSeries(Duration aLength)
+{
+  std::uniform_int_distribution<int> count(2, kMostSeriesSteps);
+  std::uniform_int_distribution<int> stutter(kLeastStutterMs, kMostStutterMs);
+  const int steps = count(random_);
+  for (int i = 0; i < steps; ++i) {
+    const auto step = kSeriesSteps[random_() % kSeriesSteps.size()];
+    const Duration lasts = std::chrono::milliseconds(stutter(random_));
+    world_.After(aLength * i / steps,
+                 [this, step, lasts] { (this->*step)(lasts); });
+  }
+}
+
 void FaultDriver::KillHost(Duration aLength)
 {
-  PickHost().Kill(aLength);
+  Kill(PickHost(), aLength);
+}
+
+void FaultDriver::Kill(SoakHost& aHost, Duration aDown)
+{
+  RecordDisturbance(aHost, aDown);
+  aHost.Kill(aDown);
+}
+
+void FaultDriver::Pause(SoakHost& aHost, Duration aLength)
+{
+  RecordDisturbance(aHost, aLength);
+  aHost.Pause();
+  world_.After(aLength, [&aHost] { aHost.Resume(); });
+}
+
+void FaultDriver::RecordDisturbance(const SoakHost& aHost, Duration aLength)
+{
+  world_.Ledger().Disturbances().Add(aHost.Name(),
+                                     world_.Time().Now() + aLength);
 }
 
 void FaultDriver::KillAllHosts(Duration aLength)
 {
   for (const auto& host : world_.Hosts()) {
-    host->Kill(aLength);
+    Kill(*host, aLength);
   }
 }
 
 void FaultDriver::PauseHost(Duration aLength)
 {
-  SoakHost& host = PickHost();
-  host.Pause();
-  world_.After(aLength, [&host] { host.Resume(); });
+  Pause(PickHost(), aLength);
 }
 
 void FaultDriver::PauseHalf(Duration aLength)
 {
   for (const auto& host : world_.Hosts()) {
     if (random_() % 2 == 0) {
-      host->Pause();
-      world_.After(aLength, [&host = *host] { host.Resume(); });
+      Pause(*host, aLength);
     }
   }
 }
@@ -255,7 +319,9 @@
 
 void FaultDriver::CutFrontLink(Duration)
 {
-  PickHost().FrontLink().Cut();
+  SoakHost& host = PickHost();
+  RecordDisturbance(host, Duration(0));
+  host.FrontLink().Cut();
 }
 
 void FaultDriver::DelayFrontLink(Duration aLength)
--- a/tests/soak/FaultDriver.h
+++ b/tests/soak/FaultDriver.h
@@ -29,6 +29,10 @@
   void DrainServer(Duration aLength);
   void JoinServer(Duration aLength);
   void TakeZoneOut(Duration aLength);
+  void ChangeIdleLimit(Duration aLength);
+  void StutterHost(Duration aLength);
+  /** Several planned signals and changes in quick succession. */
+  void RunSeries(Duration aLength);
 
   void KillHost(Duration aLength);
   void KillAllHosts(Duration aLength);
@@ -54,8 +58,13 @@
                const LinkFaults& aFaults,
                Duration aLength);
   SoakHost& PickHost();
+  // Disturbances that may cost the host the requests in progress.
+  void Kill(SoakHost& aHost, Duration aDown);
+  void Pause(SoakHost& aHost, Duration aLength);
+  void RecordDisturbance(const SoakHost& aHost, Duration aLength);
 
   static const std::vector<SoakFault> kFaults;
+  static const std::vector<void (FaultDriver::*)(Duration)> kSeriesSteps;
 
   SoakWorld& world_;
   /**
@@ -64,6 +73,7 @@
    */
   std::mt19937_64 random_;
   std::vector<SoakFault> faults_;
+  TimePoint start_;
   TimePoint end_;
   TimePoint lastEnd_;
 };
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -21,14 +21,18 @@
                        const Clock& aClock,
                        SoakLedger& aLedger,
                        std::mt19937_64& aRandom,
+                       const CallerHabit& aHabit,
                        HostPicker aPickHost,
-                       RequestMaker aMakeRequest)
+                       RequestMaker aMakeRequest,
+                       IdleLimit aIdleLimit)
   : context_(aContext)
   , clock_(aClock)
   , ledger_(aLedger)
   , random_(aRandom)
+  , habit_(aHabit)
   , pickHost_(std::move(aPickHost))
   , makeRequest_(std::move(aMakeRequest))
+  , idleLimit_(std::move(aIdleLimit))
   , pause_(aContext)
   , timeout_(aContext)
 {
@@ -45,9 +49,21 @@
   return std::chrono::milliseconds(distribution(random_));
 }
 
+Duration SoakCaller::Pause()
+{
+  const Duration longest = idleLimit_() * 4 / 5;
+  return Between(
+    kLeastPauseMs,
+    habit_.pausesLong
+      ? static_cast<int>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(longest)
+            .count())
+      : kMostPauseMs);
+}
+
 void SoakCaller::Wait()
 {
-  pause_.expires_after(Between(kLeastPauseMs, kMostPauseMs));
+  pause_.expires_after(Pause());
   pause_.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
       Send();
@@ -57,16 +73,17 @@
 
 bool SoakCaller::Connect()
 {
-  if (connection_ && connection_->Reusable() && random_() % kFreshEvery != 0) {
+  if (connection_ && connection_->Reusable() &&
+      (habit_.keepsConnection || random_() % kFreshEvery != 0)) {
     return true;
   }
-  const auto host = pickHost_();
-  if (!host) {
+  host_ = pickHost_(habit_);
+  if (host_ == nullptr) {
     connection_.reset();
     return false;
   }
   ConnectionOptions options;
-  options.endpoint = *host;
+  options.endpoint = host_->FrontLink().ListenEndpoint();
   connection_ = std::make_unique<HttpConnection>(context_, options, clock_);
   return true;
 }
@@ -95,29 +112,55 @@
     Wait();
     return;
   }
-  const SoakRequest request = makeRequest_();
+  SoakRequest request = makeRequest_();
+  request.host = host_->Name();
+  request.endedSending = habit_.endsSending && request.atMostOnce;
   ledger_.OnSent(request);
   pendingId_ = request.id;
-  ArmTimeout(request.id,
-             random_() % kGiveUpEvery == 0 ? Between(1, kMostEarlyMs)
-                                           : kRequestTimeout);
+  ArmTimeout(request.id);
+  if (request.endedSending) {
+    SendAndEnd(request);
+    return;
+  }
   connection_->Send(Outgoing(request),
                     [this, id = request.id](const ExchangeResult& aResult) {
-                      timeout_.cancel();
-                      pendingId_.clear();
-                      ledger_.OnEnded(id, aResult);
-                      Wait();
+                      OnEnded(id, aResult);
                     });
 }
 
-void SoakCaller::ArmTimeout(const std::string& aId, Duration aTimeout)
+void SoakCaller::SendAndEnd(const SoakRequest& aRequest)
+{
+  connection_.reset();
+  halfClosing_ = std::make_shared<HalfClosingExchange>(
+    context_,
+    Outgoing(aRequest),
+    [this, id = aRequest.id](const ExchangeResult& aResult) {
+      OnEnded(id, aResult);
+    });
+  halfClosing_->Start(host_->FrontLink().ListenEndpoint());
+}
+
+void SoakCaller::OnEnded(const std::string& aId, const ExchangeResult& aResult)
+{
+  timeout_.cancel();
+  pendingId_.clear();
+  halfClosing_.reset();
+  ledger_.OnEnded(aId, aResult);
+  Wait();
+}
+
+void SoakCaller::ArmTimeout(const std::string& aId)
 {
-  timeout_.expires_after(aTimeout);
-  timeout_.async_wait([this, aId](const asio::error_code& aError) {
+  const bool early = random_() % kGiveUpEvery == 0;
+  timeout_.expires_after(early ? Between(1, kMostEarlyMs) : kRequestTimeout);
+  timeout_.async_wait([this, aId, early](const asio::error_code& aError) {
     // The response may have arrived after the timer expired.
     if (!aError && pendingId_ == aId) {
       connection_.reset();
-      ledger_.OnGaveUp(aId);
+      if (const auto exchange = std::exchange(halfClosing_, nullptr)) {
+        exchange->Abandon();
+      }
+      ledger_.OnGaveUp(aId, !early);
       Wait();
     }
   });
--- a/tests/soak/SoakHost.cpp
+++ b/tests/soak/SoakHost.cpp
@@ -37,12 +37,14 @@
 SoakHost::SoakHost(asio::io_context& aContext,
                    const Clock& aClock,
                    SoakLedger& aLedger,
+                   std::string aProgram,
                    nlohmann::json aSettings,
                    const Endpoint& aStore,
                    const Endpoint& aStoreLink,
                    const Endpoint& aFrontLink)
   : clock_(aClock)
   , ledger_(aLedger)
+  , program_(std::move(aProgram))
   , name_(aSettings.at("node").get<std::string>())
   , zone_(aSettings.at("zone").get<std::string>())
   , storeLink_(MakeLink(aContext, aClock, aStoreLink, aStore))
@@ -65,9 +67,9 @@
   startAt_.reset();
   terminatedAt_.reset();
   paused_ = false;
+  ledger_.Disturbances().SetRestarting(name_, clock_.Now());
   process_ = std::make_unique<Process>(
-    "lacewing-hostd",
-    std::vector<std::string>{ "--settings=" + settings_.Path() });
+    program_, std::vector<std::string>{ "--settings=" + settings_.Path() });
 }
 
 void SoakHost::Kill(Duration aDown)
@@ -80,10 +82,11 @@
   startAt_ = clock_.Now() + aDown;
 }
 
-void SoakHost::Terminate()
+void SoakHost::Terminate(Duration aGrace)
 {
   if (Running()) {
     terminatedAt_ = clock_.Now();
+    ledger_.Disturbances().SetRestarting(name_, *terminatedAt_ + aGrace);
     process_->Signal(SIGTERM);
   }
 }
@@ -110,7 +113,7 @@
 
 void SoakHost::Reload()
 {
-  if (Running()) {
+  if (Alive()) {
     process_->Signal(SIGHUP);
   }
 }
--- a/tests/soak/SoakHost.h
+++ b/tests/soak/SoakHost.h
@@ -29,6 +29,7 @@
   SoakHost(asio::io_context& aContext,
            const Clock& aClock,
            SoakLedger& aLedger,
+           std::string aProgram,
            nlohmann::json aSettings,
            const Endpoint& aStore,
            const Endpoint& aStoreLink,
@@ -42,8 +43,11 @@
   void Start();
   /** Kills the process at once; Poll() restarts it after aDown. */
   void Kill(Duration aDown);
-  /** Sends SIGTERM; Poll() restarts the process once it has exited. */
-  void Terminate();
+  /**
+   * Sends SIGTERM; Poll() restarts the process once it has exited, which it
+   * must within aGrace.
+   */
+  void Terminate(Duration aGrace);
   void Pause();
   void Resume();
   void Reload();
@@ -52,6 +56,9 @@
    */
   bool InRotation() const { return misses_ < kMissesOut; }
   bool Running() const { return process_ && !terminatedAt_; }
+  /** Whether there is a process, which may be stopping. */
+  bool Alive() const { return process_ != nullptr; }
+  bool Paused() const { return paused_; }
 
   /**
    * Restarts the process when due, reports an unexpected exit or a terminated
@@ -72,6 +79,7 @@
 
   const Clock& clock_;
   SoakLedger& ledger_;
+  const std::string program_;
   const std::string name_;
   const ZoneId zone_;
   std::unique_ptr<ProxyPair> storeLink_;
--- a/tests/soak/SoakLedger.cpp
+++ b/tests/soak/SoakLedger.cpp
@@ -14,6 +14,8 @@
 // At least this share of the requests sent after all faults have ended must be
 // served; the rest allows for requests on connections that were just closing.
 constexpr double kServedShare = 0.95;
+// A host that was disturbed within this time before may have lost a request.
+constexpr Duration kDisturbedFor = std::chrono::seconds(3);
 
 bool PromisesNotRun(unsigned aStatus)
 {
@@ -44,6 +46,7 @@
   : clock_(aClock)
   , terms_(aTerms)
   , plannedOnly_(aPlannedOnly)
+  , startedAt_(aClock.Now())
 {
 }
 
@@ -60,8 +63,15 @@
   requests_.emplace(id, std::move(aRequest));
 }
 
-void SoakLedger::OnArrival(const ServerSpec& aServer, bool aCold)
+void SoakLedger::OnArrival(const ServerSpec& aServer,
+                           const HttpMessage& aRequest,
+                           bool aCold)
 {
+  const auto found =
+    requests_.find(FieldOf(aRequest, "Lacewinghoist-Request-Id"));
+  if (found != requests_.end()) {
+    found->second.reached.push_back(aServer.id.value());
+  }
   if (!aCold) {
     return;
   }
@@ -120,7 +130,7 @@
 void SoakLedger::OnEnded(const std::string& aId, const ExchangeResult& aResult)
 {
   SoakRequest& request = requests_.at(aId);
-  request.endedAt = clock_.Now();
+  RecordEnd(request);
   if (aResult.end == ExchangeEnd::kAnswered) {
     request.status = aResult.answer.head.status;
     CheckResponse(request, aResult.answer);
@@ -129,11 +139,21 @@
   }
 }
 
-void SoakLedger::OnGaveUp(const std::string& aId)
+void SoakLedger::OnGaveUp(const std::string& aId, bool aOverdue)
 {
   SoakRequest& request = requests_.at(aId);
   request.gaveUp = true;
-  request.endedAt = clock_.Now();
+  request.overdue = aOverdue;
+  RecordEnd(request);
+}
+
+void SoakLedger::RecordEnd(SoakRequest& aRequest)
+{
+  const TimePoint now = clock_.Now();
+  const TimePoint from = std::min(now - kDisturbedFor, aRequest.sentAt);
+  aRequest.endedAt = now;
+  aRequest.hostDisturbed = disturbances_.Disturbed(aRequest.host, from);
+  aRequest.hostRestarting = disturbances_.Restarting(aRequest.host, from);
 }
 
 void SoakLedger::CheckResponse(const SoakRequest& aRequest,
@@ -190,11 +210,44 @@
     AddViolation("attempts",
                  aRequest.id + " ran at more servers than max_attempts");
   }
+  CheckAnswered(aRequest);
   if (plannedOnly_) {
     CheckPlanned(aRequest);
   }
 }
 
+/**
+ * A host that was not disturbed answers each request that it has passed on, and
+ * each whose caller has ended its sending side.
+ */
+void SoakLedger::CheckAnswered(const SoakRequest& aRequest)
+{
+  const bool unanswered = aRequest.status == 0 &&
+                          (!aRequest.gaveUp || aRequest.overdue) &&
+                          aRequest.endedAt;
+  if (!unanswered || aRequest.hostDisturbed) {
+    return;
+  }
+  const bool refusedConnection =
+    aRequest.reached.empty() && aRequest.hostRestarting;
+  if (aRequest.overdue || !aRequest.reached.empty() ||
+      (aRequest.endedSending && !refusedConnection)) {
+    const auto sinceStart = [this](TimePoint aAt) {
+      return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(aAt - startedAt_)
+          .count());
+    };
+    AddViolation("unanswered",
+                 aRequest.id + " host=" + aRequest.host +
+                   " reached=" + std::to_string(aRequest.reached.size()) +
+                   " runs=" + std::to_string(aRequest.runs.size()) +
+                   " ended_sending=" + std::to_string(aRequest.endedSending) +
+                   " overdue=" + std::to_string(aRequest.overdue) +
+                   " sent_ms=" + sinceStart(aRequest.sentAt) +
+                   " ended_ms=" + sinceStart(*aRequest.endedAt));
+  }
+}
+
 /**
  * During planned changes a request gets a response, unless it was sent while
  * the host closed the connection.
--- a/tests/soak/SoakLedger.h
+++ b/tests/soak/SoakLedger.h
@@ -2,6 +2,7 @@
 #define TESTS_SOAK_SOAKLEDGER_H
 
 #include "http/ExchangeResult.h"
+#include "soak/HostDisturbances.h"
 #include "soak/RouteHistory.h"
 #include "soak/SoakRequest.h"
 #include "soak/SoakTerms.h"
@@ -25,14 +26,18 @@
   SoakLedger(const Clock& aClock, const SoakTerms& aTerms, bool aPlannedOnly);
 
   RouteHistory& Routes() { return routes_; }
+  HostDisturbances& Disturbances() { return disturbances_; }
 
   // Events at callers and servers. A run is the processing of a request by a
   // server.
   void OnSent(SoakRequest aRequest);
-  void OnArrival(const ServerSpec& aServer, bool aCold);
+  void OnArrival(const ServerSpec& aServer,
+                 const HttpMessage& aRequest,
+                 bool aCold);
   void OnRun(const ServerSpec& aServer, const HttpMessage& aRequest);
   void OnEnded(const std::string& aId, const ExchangeResult& aResult);
-  void OnGaveUp(const std::string& aId);
+  /** aOverdue: after its whole deadline, so that a response was due. */
+  void OnGaveUp(const std::string& aId, bool aOverdue);
   /**
    * The store accepted the entry that drains a server or evacuates a zone; the
    * bound after which it must receive no more requests starts now.
@@ -54,6 +59,8 @@
 
 private:
   void CheckResponse(const SoakRequest& aRequest, const HttpMessage& aResponse);
+  void RecordEnd(SoakRequest& aRequest);
+  void CheckAnswered(const SoakRequest& aRequest);
   void CheckPlanned(const SoakRequest& aRequest);
   void CheckRequest(const SoakRequest& aRequest);
   void CheckRetries();
@@ -62,6 +69,8 @@
   const SoakTerms terms_;
   const bool plannedOnly_;
   RouteHistory routes_;
+  HostDisturbances disturbances_;
+  const TimePoint startedAt_;
   std::map<std::string, SoakRequest> requests_;
   std::map<TargetId, std::deque<TimePoint>> coldArrivals_;
   std::map<TargetId, TimePoint> leaving_;
--- a/tests/soak/SoakOptions.h
+++ b/tests/soak/SoakOptions.h
@@ -21,7 +21,9 @@
   std::size_t zones = 2;
   std::size_t hostsPerZone = 2;
   std::size_t serversPerZone = 3;
-  std::size_t callers = 48;
+  std::size_t callers = 64;
+  /** The program of the hosts: its name in the build folder, or its path. */
+  std::string program = "lacewing-hostd";
   /** Folder for the hosts' logs of a failed run; empty to write none. */
   std::string keepLogs;
 };
--- a/tests/soak/SoakRequest.h
+++ b/tests/soak/SoakRequest.h
@@ -28,12 +28,20 @@
   std::string target;
   std::string body;
   bool atMostOnce = false;
+  std::string host;
+  /** Whether the caller ended its sending side after the request. */
+  bool endedSending = false;
   TimePoint sentAt;
   std::optional<TimePoint> endedAt;
   /** Status of the response; 0 without a complete response. */
   unsigned status = 0;
   /** Whether the caller closed the connection before the response. */
   bool gaveUp = false;
+  /** Whether it waited for longer than its whole deadline by then. */
+  bool overdue = false;
+  /** What the host went through before the request ended. */
+  bool hostDisturbed = false;
+  bool hostRestarting = false;
   std::vector<Run> runs;
   /** Servers that the request reached, whether or not they ran it. */
   std::vector<std::string> reached;
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -33,6 +33,14 @@
   { "/load/", "upload", "POST" },
 } };
 
+// Callers have these habits in turn.
+constexpr std::array<CallerHabit, 4> kHabits{ {
+  { false, false, false, false },
+  { true, true, false, false },
+  { true, true, true, false },
+  { false, false, false, true },
+} };
+
 double Seconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -58,6 +66,7 @@
     hosts_.push_back(std::make_unique<SoakHost>(context_,
                                                 clock_,
                                                 ledger_,
+                                                options_.program,
                                                 HostSettings(i),
                                                 store_.Address(),
                                                 network_.Next(),
@@ -69,8 +78,10 @@
       clock_,
       ledger_,
       random_,
-      [this] { return PickHost(); },
-      [this] { return MakeRequest(); }));
+      kHabits[i % kHabits.size()],
+      [this](const CallerHabit& aHabit) { return PickHost(aHabit); },
+      [this] { return MakeRequest(); },
+      [this] { return idleLimit_; }));
   }
 }
 
@@ -131,7 +142,7 @@
              { { "version", ++version_ },
                { "routes", routes },
                { "services", services },
-               { "limits", nlohmann::json::object() } });
+               { "limits", { { "idle_timeout_s", Seconds(idleLimit_) } } } });
 }
 
 void SoakWorld::MoveRoute()
@@ -140,6 +151,12 @@
   WriteConfiguration();
 }
 
+void SoakWorld::SetIdleLimit(Duration aLimit)
+{
+  idleLimit_ = aLimit;
+  WriteConfiguration();
+}
+
 SoakServer& SoakWorld::AddServer(const ServiceId& aService,
                                  const ZoneId& aZone,
                                  bool aCold)
@@ -172,8 +189,8 @@
     [this](const ServerSpec& aSpec, const HttpMessage& aRequest) {
       ledger_.OnRun(aSpec, aRequest);
     },
-    [this](const ServerSpec& aSpec, bool aCold) {
-      ledger_.OnArrival(aSpec, aCold);
+    [this](const ServerSpec& aSpec, const HttpMessage& aRequest, bool aCold) {
+      ledger_.OnArrival(aSpec, aRequest, aCold);
     });
   WriteServer(aServer);
 }
@@ -276,9 +293,11 @@
   for (const auto& host : hosts_) {
     host->Poll(terms_.grace);
   }
+  const TimePoint due = clock_.Now() + kPollEvery;
   poll_.expires_after(kPollEvery);
-  poll_.async_wait([this](const asio::error_code& aError) {
+  poll_.async_wait([this, due](const asio::error_code& aError) {
     if (!aError) {
+      longestDelay_ = std::max(longestDelay_, clock_.Now() - due);
       Poll();
     }
   });
@@ -304,19 +323,16 @@
   return ready();
 }
 
-/** Picks a host in rotation at random; none if no host is in rotation. */
-std::optional<Endpoint> SoakWorld::PickHost()
+/** Picks a host that aHabit connects to at random; null if there is none. */
+SoakHost* SoakWorld::PickHost(const CallerHabit& aHabit)
 {
   std::vector<SoakHost*> hosts;
   for (const auto& host : hosts_) {
-    if (host->InRotation()) {
+    if (aHabit.ignoresRotation ? host->Alive() : host->InRotation()) {
       hosts.push_back(host.get());
     }
   }
-  if (hosts.empty()) {
-    return std::nullopt;
-  }
-  return hosts[random_() % hosts.size()]->FrontLink().ListenEndpoint();
+  return hosts.empty() ? nullptr : hosts[random_() % hosts.size()];
 }
 
 SoakRequest SoakWorld::MakeRequest()
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -65,6 +65,14 @@
 
   /** Writes a configuration version in which the routes swap their services. */
   void MoveRoute();
+  /** Writes a configuration version with this limit for idle connections. */
+  void SetIdleLimit(Duration aLimit);
+
+  /**
+   * How late the thread of the callers and servers was at most. When the
+   * machine is that busy, hosts rightly refuse requests.
+   */
+  Duration LongestDelay() const { return longestDelay_; }
 
   ZoneId ZoneAt(std::size_t aIndex) const;
   std::size_t Zones() const { return options_.zones; }
@@ -74,7 +82,7 @@
   void WriteConfiguration();
   void StartProcess(SoakServer& aServer);
   void Poll();
-  std::optional<Endpoint> PickHost();
+  SoakHost* PickHost(const CallerHabit& aHabit);
   SoakRequest MakeRequest();
 
   const SoakOptions options_;
@@ -92,6 +100,8 @@
   asio::steady_timer poll_;
   std::uint64_t version_ = 0;
   bool moved_ = false;
+  Duration longestDelay_{};
+  Duration idleLimit_ = std::chrono::seconds(1);
   std::uint64_t requests_ = 0;
   std::uint64_t serverCount_ = 0;
 };
--- a/tests/soak/lacewing_soak.cpp
+++ b/tests/soak/lacewing_soak.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 ABSL_FLAG(std::uint64_t,
           seed,
@@ -18,6 +19,10 @@
           false,
           "inject planned changes only, during which no request may be lost");
 ABSL_FLAG(int, hosts, 2, "number of hosts in each zone");
+ABSL_FLAG(std::string,
+          hostd,
+          "lacewing-hostd",
+          "the hosts' program: its name in the build folder, or its path");
 ABSL_FLAG(std::string,
           keep_logs,
           "",
@@ -37,6 +42,19 @@
   }
 }
 
+/** Reports what sanitizers, if hosts are built with them, have found. */
+void CheckSanitizers(SoakWorld& aWorld)
+{
+  for (const auto& host : aWorld.Hosts()) {
+    std::istringstream logs(host->Logs());
+    for (std::string line; std::getline(logs, line);) {
+      if (line.find("Sanitizer") != std::string::npos) {
+        aWorld.Ledger().AddViolation("sanitizer", host->Name() + ' ' + line);
+      }
+    }
+  }
+}
+
 int Run(const SoakOptions& aOptions)
 {
   SoakWorld world(aOptions);
@@ -53,13 +71,17 @@
   world.RunUntil(calm + kCalm);
   world.Ledger().CheckServed(calm);
   world.Ledger().CheckRequests();
+  CheckSanitizers(world);
   for (const std::string& violation : world.Ledger().Violations()) {
     std::cout << "event=violation " << violation << '\n';
   }
   const bool passed = world.Ledger().Violations().empty();
   std::cout << "event=end seed=" << aOptions.seed
             << " planned=" << aOptions.plannedOnly << ' '
-            << world.Ledger().Summary()
+            << world.Ledger().Summary() << " longest_delay_ms="
+            << std::chrono::duration_cast<std::chrono::milliseconds>(
+                 world.LongestDelay())
+                 .count()
             << " verdict=" << (passed ? "passed" : "failed") << std::endl;
   if (!passed && !aOptions.keepLogs.empty()) {
     KeepLogs(world, aOptions.keepLogs);
@@ -76,7 +98,7 @@
     "Runs lacewing-hostd processes under random faults and checks what callers "
     "and servers see.\n"
     "lacewing-soak [--seed N] [--seconds N] [--planned] [--hosts N] "
-    "[--keep_logs FOLDER]",
+    "[--hostd FILE] [--keep_logs FOLDER]",
     aCount,
     aArguments);
   std::signal(SIGPIPE, SIG_IGN);
@@ -86,6 +108,7 @@
   options.length = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
   options.plannedOnly = absl::GetFlag(FLAGS_planned);
   options.hostsPerZone = static_cast<std::size_t>(absl::GetFlag(FLAGS_hosts));
+  options.program = absl::GetFlag(FLAGS_hostd);
   options.keepLogs = absl::GetFlag(FLAGS_keep_logs);
   return Run(options);
 }
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -24,8 +24,9 @@
 /** Makes an empty file whose name shows the program. */
 std::string MakeOutputFile(const std::string& aProgram)
 {
+  const std::filesystem::path program = aProgram;
   std::string path = std::filesystem::temp_directory_path() /
-                     ("lacewing-" + aProgram + "-XXXXXX");
+                     ("lacewing-" + program.filename().string() + "-XXXXXX");
   const int fd = mkstemp(path.data());
   if (fd < 0) {
     throw std::runtime_error("cannot make " + path);
@@ -67,8 +68,9 @@
                  const std::vector<std::string>& aArguments)
   : outputFile_(MakeOutputFile(aProgram))
 {
-  pid_ = Spawn(
-    std::string(LACEWING_BIN_DIR) + "/" + aProgram, aArguments, outputFile_);
+  pid_ = Spawn(std::filesystem::path(LACEWING_BIN_DIR) / aProgram,
+               aArguments,
+               outputFile_);
   pidFd_ = static_cast<int>(syscall(SYS_pidfd_open, pid_, 0));
 }
 
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -9,7 +9,10 @@
 
 namespace lacewing {
 
-/** A program of LACEWING_BIN_DIR that runs until this is destroyed. */
+/**
+ * A program of LACEWING_BIN_DIR, or one given by its absolute path, that runs
+ * until this is destroyed.
+ */
 class Process
 {
 public:
--- a/tests/support/ServerStandin.cpp
+++ b/tests/support/ServerStandin.cpp
@@ -188,7 +188,7 @@
     aSession->Write(BytesOf(MakeNotRunResponse(421, aRequest)), false);
     return;
   }
-  onArrival_(spec_, Cold());
+  onArrival_(spec_, aRequest, Cold());
   if (faults_.shedAll) {
     aSession->Write(BytesOf(MakeNotRunResponse(503, aRequest)), false);
   } else if (running_ < spec_.slots) {
--- a/tests/support/ServerStandin.h
+++ b/tests/support/ServerStandin.h
@@ -29,8 +29,8 @@
   using RunHandler =
     std::function<void(const ServerSpec& aServer, const HttpMessage& aRequest)>;
   /** Called when a request arrives that is not meant for another instance. */
-  using ArrivalHandler =
-    std::function<void(const ServerSpec& aServer, bool aCold)>;
+  using ArrivalHandler = std::function<
+    void(const ServerSpec& aServer, const HttpMessage& aRequest, bool aCold)>;
 
   ServerStandin(asio::io_context& aContext,
                 const Clock& aClock,
