--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -157,6 +157,23 @@
   caller.EndSending();
   CHECK(caller.ReadToEnd().find("ok r2") != std::string::npos);
   CHECK(caller.Closed());
+  CHECK(gateway.Counters().unansweredTimeout == 0);
+}
+
+// Guards against refusing the request of a caller that ends its sending side at
+// once, since no target has been found by then.
+TEST_CASE("gateway: a half-closed caller is served if its end comes at once")
+{
+  GatewayTarget target([](const std::string& aId, int) {
+    return SignedResponse(aId, "ok " + aId);
+  });
+  TestGateway gateway(target.Address(), kPatientObjective);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
+  caller.EndSending();
+  CHECK(caller.ReadToEnd().find("ok r2") != std::string::npos);
+  CHECK(target.Runs() == 1);
+  CHECK(gateway.Counters().unansweredTimeout == 0);
 }
 
 // Guards against a connection that closes without any answer when a request
