Move the writing of responses out of CallerSession

Change: ResponseWriter owns the response's bytes and its share of the memory until they are written. No behavior changes.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -5,15 +5,12 @@
 #include "gateway/RequestDeadline.h"
 #include "gateway/UnansweredCount.h"
 #include "http/AsyncRead.h"
-#include "http/HopFields.h"
-#include "http/MessageBytes.h"
 #include "http/SocketOptions.h"
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
 #include <utility>
-#include <vector>
 
 namespace lacewing {
 
@@ -66,6 +63,7 @@
   , timer_(aState.Context())
   , idleSince_(aState.Now())
   , parser_(MessageSide::kRequest, ParserLimits())
+  , writer_(socket_)
 {
 }
 
@@ -316,26 +314,12 @@
   stage_ = Stage::kResponding;
   keepAlive_ = keepAlive_ && !state_.Draining();
   aResponse.head.keepAlive = keepAlive_;
-  aResponse.head.fields = EndToEndFields(std::move(aResponse.head.fields));
-  outHead_ = AnswerHeadBytes(aResponse.head, aResponse.body.size());
-  outBody_ = isHeadRequest_ ? std::string() : std::move(aResponse.body);
-  outCharge_ = std::move(aResponse.charge);
-  Write();
-}
-
-void CallerSession::Write()
-{
-  writing_ = true;
   ArmTimer(kWriteTimeout, &CallerSession::OnWriteTimeout);
-  const std::vector<asio::const_buffer> parts{ asio::buffer(outHead_),
-                                               asio::buffer(outBody_) };
-  asio::async_write(
-    socket_,
-    parts,
-    [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
-      self->writing_ = false;
-      self->OnWritten(aError);
-    });
+  writer_.Write(std::move(aResponse),
+                isHeadRequest_,
+                [self = shared_from_this()](const asio::error_code& aError) {
+                  self->OnWritten(aError);
+                });
 }
 
 void CallerSession::OnWritten(const asio::error_code& aError)
@@ -348,9 +332,6 @@
     return;
   }
   served_ = true;
-  outHead_ = std::string();
-  outBody_ = std::string();
-  outCharge_.reset();
   if (callerEnded_) {
     stage_ = Stage::kLingering;
     Close(CloseReason::kAnswered);
@@ -420,7 +401,7 @@
       "unanswered",
       { { "request", requestId_ },
         { "reason", ToString(aReason) },
-        { "writing", writing_ ? "1" : "0" },
+        { "writing", writer_.Writing() ? "1" : "0" },
         { "ms", MillisecondsText(state_.Now() - requestedAt_) } });
 }
 
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -4,6 +4,7 @@
 #include "core/OneShotTimer.h"
 #include "gateway/CloseReason.h"
 #include "gateway/Exchange.h"
+#include "gateway/ResponseWriter.h"
 #include "gateway/TrafficState.h"
 #include "http/MessageParser.h"
 
@@ -74,7 +75,6 @@
   void SendContinue();
   void BeginExchange();
   void Respond(HttpMessage aResponse);
-  void Write();
   void OnWritten(const asio::error_code& aError);
   void Linger();
   /** Calls aOnTimeout after aAfter, in place of what was armed before. */
@@ -103,13 +103,9 @@
   std::string requestId_;
   /** When the request in progress was read completely. */
   TimePoint requestedAt_;
-  std::string outHead_;
-  std::string outBody_;
-  /** The response body's share of the memory for bodies. */
-  std::shared_ptr<BufferCharge> outCharge_;
+  ResponseWriter writer_;
   Stage stage_ = Stage::kReading;
   bool reading_ = false;
-  bool writing_ = false;
   /** At least one response was written. */
   bool served_ = false;
   bool continueSent_ = false;
