Send no request of a caller who left before it was sent

Servers saw: requests that run at most once arriving more than half a second after their callers had left, where a busy thread read request and end together. Whether a caller is gone or only done with sending cannot be told, and how long ago it left is not known on a late thread. The answer of one that was sent is still written. The soak's half-closing callers end 10 ms after sending.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -317,9 +317,7 @@
 
 void Exchange::WaitForCapacity()
 {
-  // Nothing may reach a target long after its caller has left.
-  if (callerClosed_ ||
-      !MayWait(state_.Now(), startedAt_, route_->latencyObjective, deadline_)) {
+  if (!MayWait(state_.Now(), startedAt_, route_->latencyObjective, deadline_)) {
     FinishLocally(LocalResponseKind::kRefused);
     return;
   }
@@ -398,8 +396,7 @@
 {
   ++state_.Counters().callerDisconnects;
   callerClosed_ = true;
-  // The end often arrives together with the request, before a target is found.
-  if (done_ || (route_ != nullptr && RunsAtMostOnce(route_->requestClass))) {
+  if (done_ || RunsOn()) {
     return;
   }
   Finish(MakeLocalResponse(MayHaveRun() ? LocalResponseKind::kOutcomeUnknown
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -41,9 +41,8 @@
 
   /**
    * Called when the caller has ended its sending side: it is gone, or waits for
-   * the response. A request that runs at most once is still sent, unless it
-   * waits for capacity, and completes at its target; any other is cancelled and
-   * gets a local response.
+   * the response. A request that runs at most once completes at its target;
+   * any other is cancelled and gets a local response.
    */
   void OnCallerClosed();
 
--- a/tests/soak/HalfClosingExchange.h
+++ b/tests/soak/HalfClosingExchange.h
@@ -17,8 +17,8 @@
 namespace lacewing {
 
 /**
- * One request on a connection of its own, whose sending side ends with the
- * request while the response is still read.
+ * One request on a connection of its own, whose sending side ends soon after
+ * the request while the response is still read.
  */
 class HalfClosingExchange
   : public std::enable_shared_from_this<HalfClosingExchange>
@@ -41,6 +41,7 @@
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Finish(ExchangeEnd aEnd);
 
+  asio::io_context& context_;
   asio::ip::tcp::socket socket_;
   const std::string bytes_;
   Handler handler_;
