Read the answers that have arrived before a drain ends its requests

Callers saw: 502 at the end of a stop although their answer had arrived. Cause: asio handles at most 128 sockets a step but all expired timers, so that the drain's end can be handled before an answer is read. Change: a drain's end first reads what the targets have sent and ends the requests behind the handlers of these answers. Found by: a review.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -55,7 +55,8 @@
   ++state_.Counters().requests;
   state_.RecordRequest(startedAt_);
   state_.Open().Add(shared_from_this(),
-                    [this](DrainResult& aResult) { EndDrain(aResult); });
+                    { [this] { ReadArrived(); },
+                      [this](DrainResult& aResult) { EndDrain(aResult); } });
   Begin();
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -176,8 +176,12 @@
     for (const auto& session : open) {
       session->EndDrain();
     }
-    drainResult = state.Open().EndAll();
-    WaitUntilWritten();
+    state.Open().ReadArrived();
+    // Behind the ends of the attempts whose answers were read.
+    asio::post(context, [this] {
+      drainResult = state.Open().EndAll();
+      WaitUntilWritten();
+    });
   }
 
   void WaitUntilWritten()
--- a/src/gateway/OpenWork.h
+++ b/src/gateway/OpenWork.h
@@ -2,8 +2,8 @@
 #define GATEWAY_OPENWORK_H
 
 #include "gateway/DrainResult.h"
+#include "gateway/DrainSteps.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <utility>
@@ -19,15 +19,13 @@
 class OpenWork
 {
 public:
-  /** Ends an object at the end of a drain and counts how. */
-  using EndHandler = std::function<void(DrainResult&)>;
-
-  /** EndAll() calls aOnEnd, if any; it may refer to the object. */
-  void Add(std::shared_ptr<void> aObject, EndHandler aOnEnd = nullptr)
+  /** aSteps may refer to the object; empty for one that a drain leaves alone.
+   */
+  void Add(std::shared_ptr<void> aObject, DrainSteps aSteps = {})
   {
     const void* key = aObject.get();
     objects_.insert_or_assign(key,
-                              Entry{ std::move(aObject), std::move(aOnEnd) });
+                              Entry{ std::move(aObject), std::move(aSteps) });
   }
 
   /** Releases an object; the caller must not use it any more. */
@@ -37,20 +35,30 @@
     const auto held = objects_.extract(aObject);
   }
 
-  /** Ends the objects that were added with a handler. */
+  /** Reads the answers that have arrived; their handlers are queued. */
+  void ReadArrived()
+  {
+    for (const auto& [key, entry] : objects_) {
+      if (entry.steps.readArrived) {
+        entry.steps.readArrived();
+      }
+    }
+  }
+
+  /** Ends the objects that were added with steps. */
   DrainResult EndAll()
   {
-    // A handler removes its object, and others may go with it.
-    std::vector<std::pair<std::weak_ptr<void>, EndHandler>> open;
+    // A step removes its object, and others may go with it.
+    std::vector<std::pair<std::weak_ptr<void>, DrainSteps>> open;
     for (const auto& [key, entry] : objects_) {
-      if (entry.onEnd) {
-        open.emplace_back(entry.object, entry.onEnd);
+      if (entry.steps.end) {
+        open.emplace_back(entry.object, entry.steps);
       }
     }
     DrainResult result;
-    for (const auto& [object, onEnd] : open) {
+    for (const auto& [object, steps] : open) {
       if (const auto held = object.lock()) {
-        onEnd(result);
+        steps.end(result);
       }
     }
     return result;
@@ -68,7 +76,7 @@
   struct Entry
   {
     std::shared_ptr<void> object;
-    EndHandler onEnd;
+    DrainSteps steps;
   };
 
   std::map<const void*, Entry> objects_;
--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -381,3 +381,41 @@
   CHECK(!CloseIfQuiet(gateway));
   ended.get_future().get();
 }
+
+// Guards against ending a request whose answer has arrived, when more sockets
+// are ready than asio handles before the expired timers (128).
+TEST_CASE("gateway: a drain's end delivers an answer behind many events")
+{
+  GatewayTarget target([](const std::string& aId, int) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return SignedResponse(aId, "ok " + aId);
+  });
+  TestGateway gateway(target.Address(), kPatientObjective);
+  std::vector<std::unique_ptr<RawCaller>> crowd;
+  for (int i = 0; i < 300; ++i) {
+    crowd.push_back(std::make_unique<RawCaller>(gateway.Port()));
+  }
+  REQUIRE(Within2s([&] { return gateway.Counters().connections >= 300; }));
+  RawCaller caller(gateway.Port());
+  RawCaller other(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r1", "b"));
+  REQUIRE(Within2s([&] { return target.Runs() == 1; }));
+  const TimePoint end = After(std::chrono::milliseconds(250));
+  std::promise<DrainResult> ended;
+  gateway.Get().BeginDrain(
+    end, [&](const DrainResult& aResult) { ended.set_value(aResult); });
+  // Its deadline makes the thread poll before the drain's end.
+  other.Send("GET /safe/b HTTP/1.1\r\nHost: test\r\nTest-Id: r0\r\n"
+             "Test-Deadline: 20\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  std::atomic<bool> release{ false };
+  gateway.Occupy(release);
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  for (const auto& each : crowd) {
+    each->Send("G");
+  }
+  std::this_thread::sleep_until(end + std::chrono::milliseconds(50));
+  release = true;
+  CHECK(ended.get_future().get().unknown == 0);
+  CHECK(caller.ReadToEnd().find("ok r1") != std::string::npos);
+}
