Check a target's connection once before a request is sent

Cause: two branches guarded against a connection that the target has closed: the search peeks at each connection that it hands over, and the exchange read it once more. The second check could also hand over a connection on which a refusal without an id proves nothing. Change: the exchange's check goes. Found by: a review.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -217,15 +217,6 @@
   return head;
 }
 
-void Exchange::ReplaceClosed(Attempt& aAttempt)
-{
-  aAttempt.connection->ReadArrived();
-  while (!aAttempt.connection->Reusable()) {
-    aAttempt.connection = state_.Pool().Take(aAttempt.target);
-    aAttempt.connection->ReadArrived();
-  }
-}
-
 void Exchange::Send(FoundTarget aTarget)
 {
   Attempt attempt;
@@ -234,9 +225,6 @@
   attempt.choice = aTarget.choice;
   attempt.sentAt = state_.Now();
   attempt.connection = std::move(aTarget.connection);
-  if (RunsAtMostOnce(route_->requestClass)) {
-    ReplaceClosed(attempt);
-  }
   triedTargets_.insert(attempt.target.id);
   ++attemptCount_;
   ++sent_;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -83,11 +83,6 @@
   bool IsLeastUrgent() const;
   void OnFound(std::optional<FoundTarget> aFound);
   void Send(FoundTarget aTarget);
-  /**
-   * Takes another connection if the target has closed this one: after sending,
-   * it would be unknown whether the request ran.
-   */
-  void ReplaceClosed(Attempt& aAttempt);
   HttpHead RequestHead(const TargetSpec& aTarget) const;
 
   void OnEnded(AttemptId aAttempt, ExchangeResult aResult);
