Count a request's body against the memory until the request ends

Operators could see: a process over its memory limit, which loses all its requests, while uploads wait for their targets. Cause: an exchange took over the body, but not its share of the memory for bodies, which was given back as soon as the request was read. Change: the exchange keeps the share.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -35,6 +35,7 @@
   , body_(aRequest.body.empty()
             ? nullptr
             : std::make_shared<const std::string>(std::move(aRequest.body)))
+  , charge_(std::move(aRequest.charge))
   , handler_(std::move(aHandler))
   , startedAt_(aState.Now())
   , finder_(aState)
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -109,6 +109,8 @@
   TrafficState& state_;
   HttpHead head_;
   std::shared_ptr<const std::string> body_;
+  /** The body's share of the memory for bodies. */
+  const std::shared_ptr<BufferCharge> charge_;
   Handler handler_;
   std::string id_;
   TimePoint startedAt_;
--- a/tests/GatewayInputTest.cpp
+++ b/tests/GatewayInputTest.cpp
@@ -209,3 +209,25 @@
   CHECK(status("1500") == 503);
   CHECK(target.Runs() == 1);
 }
+
+// Guards against uploads in progress that together exceed the memory for
+// bodies, since their share was given back once they were read.
+TEST_CASE("gateway: a request's body counts until the request ends")
+{
+  GatewayTarget target([](const std::string&, int) {
+    return std::string(ScriptedTarget::kDelayMarker);
+  });
+  TestGateway gateway(
+    target.Address(), kPatientObjective, ByteCount(1U << 20U));
+  const std::string body(700U << 10U, 'x');
+  RawCaller first(gateway.Port());
+  first.Send(TestGateway::Request("POST", "/upload/a", "r1", body));
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (gateway.Counters().attempts == 0 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  RawCaller second(gateway.Port());
+  second.Send(TestGateway::Request("POST", "/upload/a", "r2", body));
+  CHECK(StatusOf(second.ReadUntil("\r\n\r\n")) == 503);
+}
