Arm periodic work again before it runs

Operators could see: a host that accepts no connections any more, though it is ready, after an exception was dropped. Cause: an exception in a handler is logged and dropped; what the handler would have armed next was lost with it. Change: accepting, the clean-up, the flush of the log and the stop's checks are armed first. Found by: a review, by reading; there is no test that throws there.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -103,8 +103,9 @@
           });
           return;
         }
-        Open(std::move(aSocket));
+        // First, so that an exception in the rest does not end accepting.
         Accept();
+        Open(std::move(aSocket));
       });
   }
 
@@ -121,8 +122,8 @@
   void ScheduleCleanUp()
   {
     cleanUp.Arm(kCleanUpPeriod, [this] {
-      state.CleanUp();
       ScheduleCleanUp();
+      state.CleanUp();
     });
   }
 
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -133,8 +133,8 @@
   void ScheduleLogFlush()
   {
     logTimer.Arm(kLogPeriod, [this] {
-      FlushLog();
       ScheduleLogFlush();
+      FlushLog();
     });
   }
 
@@ -227,6 +227,7 @@
 
   void OnStopCheck()
   {
+    ScheduleStopCheck();
     const Duration elapsed = clock.Now() - stopRequestedAt;
     if (elapsed >= kBalancerDetectionTime) {
       if (!std::exchange(idleConnectionsClosed, true)) {
@@ -240,7 +241,6 @@
         }
       });
     }
-    ScheduleStopCheck();
   }
 
   /** Ends the process once callers can have seen the end of their connections.
