Wait for conditions in tests that a busy machine upset

Cause: 'the final response is sent at the route's timeout' got 503 and 'a caller who left no longer waits for a target' counted no disconnect once, in a whole run at a load of 25 on 8 cores: the request waited 62 or 500 ms for a target while the test's threads did not run. Two new cases waited without a bound for a request that had been refused; one hung once. Change: these cases wait for what they need, at most 2 s, with an objective that lets the request wait longer. Their checks are unchanged.

--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -31,6 +31,17 @@
   aGateway.Counters();
 }
 
+/** Waits until a request has reached aTarget. */
+template<class Target>
+void WaitForRun(const Target& aTarget)
+{
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (aTarget.Runs() == 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  REQUIRE(aTarget.Runs() > 0);
+}
+
 /** Checks that the request r2 ran and that its caller got the answer. */
 void CheckAnswered(TestGateway& aGateway, RawCaller& aCaller)
 {
@@ -204,12 +215,11 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     return SignedResponse(aId, "ok " + aId);
   });
-  TestGateway gateway({ &target }, kTimeout);
+  TestGateway gateway(target.Address(), kPatientObjective);
+  gateway.ConfigureEndpoints({ target.Address() }, kTimeout);
   RawCaller caller(gateway.Port());
   caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
-  while (target.Runs() == 0) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
+  WaitForRun(target);
   std::atomic<bool> release{ false };
   gateway.Occupy(release);
   std::this_thread::sleep_for(kBusy);
@@ -226,12 +236,11 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     return SignedResponse(aId, body + "ok " + aId);
   });
-  TestGateway gateway({ &target }, kTimeout);
+  TestGateway gateway(target.Address(), kPatientObjective);
+  gateway.ConfigureEndpoints({ target.Address() }, kTimeout);
   RawCaller caller(gateway.Port());
   caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
-  while (target.Runs() == 0) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
+  WaitForRun(target);
   std::atomic<bool> release{ false };
   gateway.Occupy(release);
   std::this_thread::sleep_for(kBusy);
@@ -262,9 +271,7 @@
   TestGateway gateway(target.Address(), kPatientObjective);
   RawCaller caller(gateway.Port());
   caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
-  while (target.Runs() == 0) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
+  WaitForRun(target);
   std::atomic<bool> release{ false };
   gateway.Occupy(release);
   occupied = true;
--- a/tests/GatewayRetryTest.cpp
+++ b/tests/GatewayRetryTest.cpp
@@ -81,7 +81,9 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(900));
     return SignedResponse(aId, "late");
   });
-  TestGateway gateway({ &unresponsive }, std::chrono::milliseconds(300));
+  TestGateway gateway(unresponsive.Address(), kPatientObjective);
+  gateway.ConfigureEndpoints({ unresponsive.Address() },
+                             std::chrono::milliseconds(300));
   const auto begin = SteadyClock::now();
   CHECK(StatusOf(gateway.Call("POST", "/once/x", "r1", "b")) == 504);
   const auto elapsed = SteadyClock::now() - begin;
--- a/tests/GatewayStopTest.cpp
+++ b/tests/GatewayStopTest.cpp
@@ -147,13 +147,14 @@
 TEST_CASE("gateway: a caller who left no longer waits for a target")
 {
   GatewayTarget target(&RespondOk);
-  TestGateway gateway(target.Address(), kPatientObjective);
+  // Waits for a target for as long as its deadline allows.
+  TestGateway gateway(target.Address(), std::chrono::seconds(60));
   gateway.Configure({});
   RawCaller caller(gateway.Port());
   caller.Send(TestGateway::Request("POST", "/once/x", "r1", "b"));
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  REQUIRE(Within2s([&] { return gateway.Counters().requests == 1; }));
   caller.Close();
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  REQUIRE(Within2s([&] { return gateway.Counters().callerDisconnects == 1; }));
   gateway.Configure({ &target });
   std::this_thread::sleep_for(std::chrono::milliseconds(600));
   CHECK(target.Runs() == 0);
