--- a/src/core/OneShotTimer.h
+++ b/src/core/OneShotTimer.h
@@ -15,7 +15,9 @@
  * later Arm() or the timer's end, even if its time has come: asio's cancel()
  * does not take back a handler that is already queued. Events that the thread
  * noticed together with the expiry are handled before, so that they can cancel
- * the timer. Belongs to the thread that runs the io_context.
+ * the timer. On a busy thread sockets may be unread still (asio handles at most
+ * 128 a step), so a timeout that ends something reads first. Belongs to the
+ * thread that runs the io_context.
  */
 class OneShotTimer
 {
--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -333,6 +333,7 @@
   }
   served_ = true;
   if (callerEnded_) {
+    // The response is written, so the close leaves nothing unanswered.
     stage_ = Stage::kLingering;
     Close(CloseReason::kAnswered);
     return;
