Refuse requests whose deadline passed before a target was found

Servers saw: requests with a remaining time of zero or less, which they take for no limit. Cause: on a late thread the answer of a probe is handled before the expired deadline, and the request was sent without a look at the clock. Change: a found target is given back if less than 1 ms is left; the request then ends as at its deadline.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -21,6 +21,9 @@
 // Limit of the attempts of one request, each at another target. Only attempts
 // that sent no byte may exceed the route's maxAttempts.
 constexpr unsigned kMaxTargetsTried = 6;
+// The unit in which a target is told the remaining time; a target may take a
+// time of zero for no limit.
+constexpr Duration kLeastTime = std::chrono::milliseconds(1);
 // How long a request waits for the first configuration; a starting host
 // receives it within 100 ms unless the store is unreachable.
 constexpr Duration kFirstConfigTimeout = std::chrono::milliseconds(150);
@@ -195,7 +198,10 @@
   if (done_) {
     return;
   }
-  if (aFound) {
+  if (aFound && deadline_ - state_.Now() < kLeastTime) {
+    state_.Pool().Put(aFound->spec, std::move(aFound->connection));
+    OnDeadline();
+  } else if (aFound) {
     Send(std::move(*aFound));
   } else if (attempts_.empty()) {
     if (attemptCount_ == 0) {
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -279,3 +279,33 @@
   release = true;
   CheckAnswered(gateway, caller);
 }
+
+// Guards against handing a target a request whose deadline has passed while the
+// thread was busy: the time that is left would be zero or less.
+TEST_CASE("gateway: a request is not sent after its deadline")
+{
+  std::atomic<bool> occupied{ false };
+  std::atomic<int> requests{ 0 };
+  const ScriptedTarget target([&](int, const std::string& aRequest) {
+    if (aRequest.rfind("GET /health ", 0) != 0) {
+      ++requests;
+      return SignedResponse("r2", "ok r2");
+    }
+    while (!occupied) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return OkResponse("", "Test-Load: 0,0,6,100\r\nTest-Cold: 0\r\n");
+  });
+  TestGateway gateway(target.Address(), std::chrono::seconds(60));
+  gateway.ConfigureEndpoints({ target.Address() }, kTimeout);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r2", "b"));
+  WaitForRun(target);
+  std::atomic<bool> release{ false };
+  gateway.Occupy(release);
+  occupied = true;
+  std::this_thread::sleep_for(kBusy);
+  release = true;
+  CHECK(StatusOf(caller.ReadUntil("\r\n\r\n")) == 503);
+  CHECK(requests == 0);
+}
