Log a last line when a hostd process ends by a fatal signal

Cause: a process that ended by a signal or an uncaught exception left nothing in its log, and the lines of the last 200 ms were lost with it (docs/incidents/lost-open-connections.md, hypothesis B).

BoundedLog's lines are left out if a thread is at work on them at that moment.

--- a/src/core/BoundedLog.cpp
+++ b/src/core/BoundedLog.cpp
@@ -18,8 +18,49 @@
   return poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
 }
 
+/** Writes aBytes up to the first time that aDescriptor is not ready. */
+void WriteReady(int aDescriptor, std::string_view aBytes)
+{
+  while (!aBytes.empty() && IsReady(aDescriptor)) {
+    const ssize_t count =
+      write(aDescriptor, aBytes.data(), std::min(aBytes.size(), kChunk));
+    if (count <= 0) {
+      return;
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(count));
+  }
+}
+
 } // namespace
 
+class BoundedLog::Access
+{
+public:
+  explicit Access(BoundedLog& aLog)
+    : log_(aLog)
+    , lock_(aLog.mutex_)
+    , granted_(!aLog.taken_.exchange(true))
+  {
+  }
+
+  ~Access()
+  {
+    if (granted_) {
+      log_.taken_ = false;
+    }
+  }
+
+  Access(const Access&) = delete;
+  Access& operator=(const Access&) = delete;
+
+  explicit operator bool() const { return granted_; }
+
+private:
+  BoundedLog& log_;
+  const std::lock_guard<std::mutex> lock_;
+  const bool granted_;
+};
+
 BoundedLog::BoundedLog(int aDescriptor, std::size_t aMaxBytes)
   : descriptor_(aDescriptor)
   , maxBytes_(aMaxBytes)
@@ -28,7 +69,10 @@
 
 void BoundedLog::Add(std::string_view aLine)
 {
-  const std::lock_guard<std::mutex> lock(mutex_);
+  const Access access(*this);
+  if (!access) {
+    return;
+  }
   if (waiting_.size() + aLine.size() > maxBytes_) {
     ++dropped_;
     return;
@@ -61,9 +105,20 @@
 
 void BoundedLog::Flush()
 {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  while (WriteSome()) {
+  const Access access(*this);
+  while (access && WriteSome()) {
+  }
+}
+
+void BoundedLog::WriteLast(std::string_view aLine)
+{
+  if (!taken_.exchange(true)) {
+    WriteReady(descriptor_, waiting_);
+  } else {
+    // The last line that was written may not be complete.
+    WriteReady(descriptor_, "\n");
   }
+  WriteReady(descriptor_, aLine);
 }
 
 std::uint64_t BoundedLog::Dropped() const
--- a/src/core/BoundedLog.h
+++ b/src/core/BoundedLog.h
@@ -1,6 +1,7 @@
 #ifndef CORE_BOUNDEDLOG_H
 #define CORE_BOUNDEDLOG_H
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -25,14 +26,27 @@
   /** Writes what the descriptor takes without blocking. */
   void Flush();
 
+  /**
+   * Writes the lines that wait and then aLine, as far as the descriptor takes
+   * them without blocking; for the handler of a fatal signal, so only with
+   * async-signal-safe calls. Without the lines that wait if a thread is at work
+   * on them. The log takes no lines afterwards.
+   */
+  void WriteLast(std::string_view aLine);
+
   std::uint64_t Dropped() const;
 
 private:
+  /** Holds the waiting lines, unless WriteLast() has taken them. */
+  class Access;
+
   bool WriteSome();
 
   const int descriptor_;
   const std::size_t maxBytes_;
   mutable std::mutex mutex_;
+  /** Whether a thread is at work on waiting_, or WriteLast() has taken it. */
+  std::atomic<bool> taken_{ false };
   std::string waiting_;
   std::uint64_t dropped_ = 0;
   std::uint64_t told_ = 0;
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -60,8 +60,12 @@
 protected:
   void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
   {
-    OutputLog().Add(formatEvent(aEvent));
+    log_.Add(formatEvent(aEvent));
   }
+
+private:
+  // Made with the appender, before a signal's handler needs it.
+  BoundedLog& log_ = OutputLog();
 };
 
 log4cplus::SharedAppenderPtr MakeAppender(LogStream aStream)
@@ -135,6 +139,11 @@
   OutputLog().Flush();
 }
 
+void WriteLastLogLine(std::string_view aLine)
+{
+  OutputLog().WriteLast(aLine);
+}
+
 void Log(LogLevel aLevel,
          const std::string& aEvent,
          std::initializer_list<LogField> aFields)
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -6,6 +6,7 @@
 
 #include <initializer_list>
 #include <string>
+#include <string_view>
 
 namespace lacewing {
 
@@ -37,6 +38,13 @@
 /** Writes the lines that wait. */
 void FlushLog();
 
+/**
+ * Writes the lines that wait for standard output and then aLine, which is
+ * complete and ends with a line break, with async-signal-safe calls only. Needs
+ * StartLogging() before; for a process that is about to end by a signal.
+ */
+void WriteLastLogLine(std::string_view aLine);
+
 /** Writes one line; values with spaces or quotes are quoted. */
 void Log(LogLevel aLevel,
          const std::string& aEvent,
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Gateway.h"
 
+#include "core/CrashThread.h"
 #include "core/Log.h"
 #include "core/OneShotTimer.h"
 #include "core/RunContext.h"
@@ -242,7 +243,10 @@
   {
     Accept();
     ScheduleCleanUp();
-    thread = std::thread([this] { RunContext(context); });
+    thread = std::thread([this] {
+      const CrashThread crashThread("traffic");
+      RunContext(context);
+    });
   }
 };
 
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <future>
 #include <thread>
+#include <utility>
 
 using namespace lacewing;
 using namespace std::chrono_literals;
@@ -410,6 +411,28 @@
   }
 }
 
+// Guards against a process that ends by itself and leaves nothing in its log:
+// neither its end nor the lines that still waited to be written.
+TEST_CASE("hostd: a process that ends by a signal says so in its last line")
+{
+  for (const auto& [signal, name] :
+       { std::pair(SIGSEGV, "SIGSEGV"), std::pair(SIGABRT, "SIGABRT") }) {
+    CAPTURE(name);
+    HostdFixture fix(10ms);
+    Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+    REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+    CHECK(fix.Post("/a/x") == 200);
+    hostd.Signal(signal);
+    CHECK(hostd.Wait(3s) == -signal);
+    const std::string output = hostd.Output();
+    CHECK(output.find(" event=request request=r1 ") != std::string::npos);
+    const std::size_t last = output.rfind('\n', output.size() - 2) + 1;
+    CHECK(output.find(std::string("level=ERROR event=crashed signal=") + name +
+                        " thread=control\n",
+                      last) != std::string::npos);
+  }
+}
+
 // Guards against a failed request whose target the logs do not name: a sending
 // that was given up at the route's timeout left no line.
 TEST_CASE("hostd: the logs name the target of a request that timed out")
