Log and count the restarts of a zone's other hosts

Cause: after a process had ended by itself and started again, nothing on other hosts told whether the run before had been stopped.

The gauge lacewing_process_age_seconds shows a restart to a scrape.

--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -7,6 +7,7 @@
 #include "fleet/HostDirectory.h"
 #include "fleet/Membership.h"
 #include "fleet/PeerExchange.h"
+#include "fleet/RestartLog.h"
 #include "fleet/TargetManager.h"
 #include "fleet/WatchElection.h"
 #include "metrics/MetricsPage.h"
@@ -54,6 +55,7 @@
   const TimePoint startedAt;
   TimePoint confirmedAt;
   Membership membership;
+  RestartLog restarts;
   /** A heartbeat reported that a host joined, left or changed its state. */
   bool membershipChanged = false;
   unsigned ticks = 0;
@@ -277,6 +279,7 @@
 
   void OnTick()
   {
+    restarts.Add(peers->TakeRestarts());
     const bool probes = ++ticks % kTicksPerProbe == 0;
     // Hosts that join or leave together are handled together, since each update
     // determines the owners of all targets anew.
@@ -357,6 +360,13 @@
                 "network partition.",
                 {},
                 peers.UnresponsiveHosts());
+  for (const bool announced : { false, true }) {
+    page.AddCounter("lacewing_hosts_restarted_total",
+                    "Restarts of other hosts of this zone, by whether the run "
+                    "before had announced its stop.",
+                    { { "announced", announced ? "yes" : "no" } },
+                    impl_->restarts.Count(announced));
+  }
   page.AddGauge("lacewing_store_watched",
                 "1 while this host watches the store.",
                 {},
@@ -367,6 +377,12 @@
     {},
     std::chrono::duration<double>(impl_->clock.Now() - impl_->confirmedAt)
       .count());
+  page.AddGauge(
+    "lacewing_process_age_seconds",
+    "Seconds since this process started.",
+    {},
+    std::chrono::duration<double>(impl_->clock.Now() - impl_->startedAt)
+      .count());
   page.AddCounter(
     "lacewing_beats_sent_total", "Datagrams sent to peers.", {}, peers.Sent());
   page.AddCounter("lacewing_beats_received_total",
--- a/src/fleet/PeerExchange.cpp
+++ b/src/fleet/PeerExchange.cpp
@@ -342,6 +342,11 @@
   }
 }
 
+std::vector<HostRestart> PeerExchange::TakeRestarts()
+{
+  return impl_->zonePeers.TakeRestarts();
+}
+
 bool PeerExchange::HasReceived() const
 {
   return impl_->received > 0;
--- a/src/fleet/PeerExchange.h
+++ b/src/fleet/PeerExchange.h
@@ -4,6 +4,7 @@
 #include "balance/LoadReading.h"
 #include "balance/OwnerCandidate.h"
 #include "fleet/HostIdentity.h"
+#include "fleet/HostRestart.h"
 #include "fleet/Peer.h"
 #include "fleet/PeerHeartbeat.h"
 #include "fleet/PeerState.h"
@@ -65,6 +66,9 @@
   /** When a host of this zone was last heard or named for the first time. */
   TimePoint LastJoin() const;
 
+  /** Restarts of hosts of this zone that were noticed since the last call. */
+  std::vector<HostRestart> TakeRestarts();
+
   /** Whether any heartbeat was received since the start. */
   bool HasReceived() const;
 
--- a/src/fleet/PeerTable.cpp
+++ b/src/fleet/PeerTable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/PeerTable.h"
 
+#include <utility>
+
 namespace lacewing {
 
 namespace {
@@ -64,6 +66,9 @@
   if (wasAlive && aHeartbeat.incarnation < peer.incarnation) {
     return false;
   }
+  if (peer.lastHeartbeatAt && peer.incarnation != aHeartbeat.incarnation) {
+    restarts_.push_back({ aHeartbeat.from.host, peer.leaving });
+  }
   const bool changed = !wasAlive || peer.leaving != aHeartbeat.leaving ||
                        peer.incarnation != aHeartbeat.incarnation;
   peer.address = aHeartbeat.from;
@@ -75,6 +80,11 @@
   return changed;
 }
 
+std::vector<HostRestart> PeerTable::TakeRestarts()
+{
+  return std::exchange(restarts_, {});
+}
+
 bool PeerTable::IsAlive(const Peer& aPeer, TimePoint aNow) const
 {
   const Duration timeout =
--- a/src/fleet/PeerTable.h
+++ b/src/fleet/PeerTable.h
@@ -2,6 +2,7 @@
 #define FLEET_PEERTABLE_H
 
 #include "balance/OwnerCandidate.h"
+#include "fleet/HostRestart.h"
 #include "fleet/Peer.h"
 #include "fleet/PeerHeartbeat.h"
 
@@ -30,6 +31,9 @@
    */
   bool OnHeartbeat(const PeerHeartbeat& aHeartbeat, TimePoint aNow);
 
+  /** The restarts that heartbeats have shown since the last call. */
+  std::vector<HostRestart> TakeRestarts();
+
   /** Hosts from which a heartbeat was received recently. */
   std::vector<const Peer*> Alive(TimePoint aNow) const;
 
@@ -61,6 +65,7 @@
   PeerAddress self_;
   std::map<HostId, Peer> peers_;
   TimePoint lastJoin_;
+  std::vector<HostRestart> restarts_;
 };
 
 } // namespace lacewing
--- a/tests/FleetControlTest.cpp
+++ b/tests/FleetControlTest.cpp
@@ -74,11 +74,13 @@
     };
   }
 
-  void SendHeartbeat(int aFrom, std::vector<PeerAddress> aMembers = {})
+  void SendHeartbeat(int aFrom,
+                     std::vector<PeerAddress> aMembers = {},
+                     Incarnation aIncarnation = Incarnation(1))
   {
     PeerHeartbeat heartbeat;
     heartbeat.from = Peer(aFrom);
-    heartbeat.incarnation = Incarnation(1);
+    heartbeat.incarnation = aIncarnation;
     heartbeat.storeOk = true;
     heartbeat.members = std::move(aMembers);
     heartbeat.revisions.resize(kCatalogKinds.size());
@@ -92,6 +94,13 @@
     context.run_for(aTime);
   }
 
+  /** Whether the metrics page has aLine. */
+  bool Shows(const std::string& aLine) const
+  {
+    return control_->MetricsText().find("\n" + aLine + "\n") !=
+           std::string::npos;
+  }
+
   asio::io_context context;
   CountingSource source;
   SnapshotCell<FleetSnapshot> fleet{ std::make_shared<const FleetSnapshot>() };
@@ -156,6 +165,19 @@
   CHECK(later.source.reads == 1);
 }
 
+// Guards against an end of a peer's process that no metric shows.
+TEST_CASE("fleet: a peer's restart without an announced stop is counted")
+{
+  StartingHost host;
+  host.SendHeartbeat(1);
+  host.RunFor(std::chrono::milliseconds(150));
+  CHECK(host.Shows("lacewing_hosts_restarted_total{announced=\"no\"} 0"));
+  host.SendHeartbeat(1, {}, Incarnation(2));
+  host.RunFor(std::chrono::milliseconds(150));
+  CHECK(host.Shows("lacewing_hosts_restarted_total{announced=\"no\"} 1"));
+  CHECK(host.Shows("lacewing_hosts_restarted_total{announced=\"yes\"} 0"));
+}
+
 // Guards against rebuilding all targets once for each of many hosts that join
 // or leave together. At 300 hosts and 3,001 targets that raised the load of the
 // busiest processor from 24 to 28 per cent.
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -193,6 +193,34 @@
   CHECK(peers.Alive(clock.Now()).size() == 1);
 }
 
+// Guards against a process that ends by itself and is back before anyone misses
+// it, so that nothing tells its end from a stop.
+TEST_CASE("fleet: a restart is reported once, with whether it was announced")
+{
+  ManualClock clock;
+  PeerTable peers(MakeAddress("self", "z1"));
+  peers.OnHeartbeat(MakeHeartbeat("near", "z1", 1), clock.Now());
+  clock.Advance(std::chrono::seconds(3));
+  // The same run after a network partition.
+  peers.OnHeartbeat(MakeHeartbeat("near", "z1", 1), clock.Now());
+  CHECK(peers.TakeRestarts().empty());
+  peers.OnHeartbeat(MakeHeartbeat("near", "z1", 2), clock.Now());
+  peers.OnHeartbeat(MakeHeartbeat("near", "z1", 2), clock.Now());
+  peers.OnHeartbeat(MakeHeartbeat("near", "z1", 1), clock.Now());
+  auto restarts = peers.TakeRestarts();
+  REQUIRE(restarts.size() == 1);
+  CHECK(restarts.at(0).host == HostId("near"));
+  CHECK_FALSE(restarts.at(0).announced);
+  PeerHeartbeat leaving = MakeHeartbeat("near", "z1", 2);
+  leaving.leaving = true;
+  peers.OnHeartbeat(leaving, clock.Now());
+  peers.OnHeartbeat(MakeHeartbeat("near", "z1", 3), clock.Now());
+  restarts = peers.TakeRestarts();
+  REQUIRE(restarts.size() == 1);
+  CHECK(restarts.at(0).announced);
+  CHECK(peers.TakeRestarts().empty());
+}
+
 // Guards against taking a restarted target for warm because of a reading that
 // was measured before its restart.
 TEST_CASE("fleet: readings from before a target's start are dropped")
