--- /dev/null
+++ b/include/lacewing/StoreEra.h
@@ -0,0 +1,16 @@
+#ifndef LACEWING_STOREERA_H
+#define LACEWING_STOREERA_H
+
+#include "lacewing/StrongNumber.h"
+
+namespace lacewing {
+
+/**
+ * Counts how often the store has come back from a copy; zero if
+ * it does not say.
+ */
+using StoreEra = StrongNumber<struct StoreEraTag>;
+
+} // namespace lacewing
+
+#endif // LACEWING_STOREERA_H
