Add failing tests for a store that comes back from a copy

After the return revisions go back and are given out again; hosts take the greater revision for the newer one.

Change: the store stand-in keeps a copy of its state and returns to it under the next era, which it states in Store-Era; pending watches get no response then. Three tests: changes below and beyond the watched revision after a return, and a host whose configurations may only advance.

--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -205,6 +205,41 @@
   CHECK(fix.RunUntilPresent("a", true));
 }
 
+// Guards against changes that are taken for old ones because the store came
+// back from a copy and their revisions are below those that it had reached.
+TEST_CASE("platform store: changes are followed after a return from a copy")
+{
+  Fixture fix;
+  fix.store.TakeCopy();
+  fix.Follow();
+  for (int i = 0; i < 20; ++i) {
+    fix.store.Put("servers", "lost" + std::to_string(i), { { "slots", 1 } });
+  }
+  REQUIRE(fix.RunUntilPresent("lost19", true));
+  fix.store.RestoreCopy();
+  fix.store.Put("servers", "late", { { "slots", 1 } });
+  CHECK(fix.RunUntilPresent("late", true));
+}
+
+// Guards against a return from a copy that only the era shows: so much was
+// written since that the store has the watched revision again, in another
+// history.
+TEST_CASE("platform store: a return from a copy is noticed by its era")
+{
+  Fixture fix;
+  fix.store.TakeCopy();
+  fix.Follow();
+  fix.store.Put("servers", "lost", { { "slots", 1 } });
+  REQUIRE(fix.RunUntilPresent("lost", true));
+  fix.store.RestoreCopy();
+  for (int i = 0; i < 3; ++i) {
+    fix.store.Put("servers", "late" + std::to_string(i), { { "slots", 1 } });
+  }
+  CHECK(fix.RunUntilPresent("late2", true));
+  // It has the revision that "lost" had.
+  CHECK(fix.RunUntilPresent("late0", true));
+}
+
 // Guards against hosts that do not find each other.
 TEST_CASE("platform store: a host that registers twice is listed")
 {
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -258,6 +258,34 @@
   CHECK(fix.Ready() == 200);
 }
 
+// Guards against a configuration that is taken back because the store came back
+// from a copy that has an older one, and against a later one that is taken for
+// old because its revision is below those that the store had reached.
+TEST_CASE("hostd: configurations only advance when the store returns to a copy")
+{
+  HostdFixture fix(10ms);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  fix.store.Do([](StoreStandin& aStore) {
+    aStore.TakeCopy();
+    for (int version = 2; version < 10; ++version) {
+      aStore.Put("config", "main", Configuration(version, Route("/b/")));
+    }
+  });
+  REQUIRE(HostdFixture::Within(2s, [&] { return fix.Post("/b/x") == 200; }));
+  fix.store.Do([](StoreStandin& aStore) { aStore.RestoreCopy(); });
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fix.Post("/b/x") == 200);
+    std::this_thread::sleep_for(100ms);
+  }
+  fix.store.Do([](StoreStandin& aStore) {
+    aStore.Put("config", "main", Configuration(10, Route("/c/")));
+  });
+  // The users' bound for a configuration.
+  CHECK(HostdFixture::Within(2s, [&] { return fix.Post("/c/x") == 200; }));
+  CHECK(fix.Post("/b/x") == 404);
+}
+
 // Guards against a changed setting that is silently not in force.
 TEST_CASE("hostd: a setting that needs a restart is named at the reload")
 {
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -61,72 +61,92 @@
                        const std::string& aName,
                        const nlohmann::json& aSpec)
 {
-  ++revision_;
-  objects_[aKind][aName] = { revision_, aSpec };
-  history_.push_back({ revision_, aKind, aName, false, aSpec });
+  ++state_.revision;
+  state_.objects[aKind][aName] = { state_.revision, aSpec };
+  state_.history.push_back({ state_.revision, aKind, aName, false, aSpec });
   RespondToWatches();
 }
 
 void StoreStandin::Remove(const std::string& aKind, const std::string& aName)
 {
-  if (objects_[aKind].erase(aName) > 0) {
-    ++revision_;
-    history_.push_back({ revision_, aKind, aName, true, nullptr });
+  if (state_.objects[aKind].erase(aName) > 0) {
+    ++state_.revision;
+    state_.history.push_back({ state_.revision, aKind, aName, true, nullptr });
     RespondToWatches();
   }
 }
 
 bool StoreStandin::Has(const std::string& aKind, const std::string& aName) const
 {
-  const auto kind = objects_.find(aKind);
-  return kind != objects_.end() && kind->second.count(aName) > 0;
+  const auto kind = state_.objects.find(aKind);
+  return kind != state_.objects.end() && kind->second.count(aName) > 0;
 }
 
 void StoreStandin::ForgetHistory()
 {
-  ++revision_;
-  historyStart_ = revision_;
-  history_.clear();
+  ++state_.revision;
+  historyStart_ = state_.revision;
+  state_.history.clear();
   for (PendingWatch& pendingWatch : std::exchange(pendingWatches_, {})) {
     pendingWatch.timer->cancel();
     pendingWatch.respond(Json(410, nlohmann::json::object()));
   }
 }
 
+void StoreStandin::TakeCopy()
+{
+  copy_ = state_;
+}
+
+void StoreStandin::RestoreCopy()
+{
+  ++era_;
+  state_ = copy_;
+  for (PendingWatch& pendingWatch : std::exchange(pendingWatches_, {})) {
+    pendingWatch.timer->cancel();
+    unansweredResponders_.push_back(std::move(pendingWatch.respond));
+  }
+}
+
 void StoreStandin::Serve(const HttpMessage& aRequest,
-                         SmallHttpServer::Responder aRespond)
+                         SmallHttpServer::Responder aSend)
 {
   ++calls_;
+  const SmallHttpServer::Responder respond =
+    [this, send = std::move(aSend)](HttpMessage aResponse) {
+      aResponse.head.fields.Add("Store-Era", std::to_string(era_));
+      send(std::move(aResponse));
+    };
   const std::string& target = aRequest.head.target;
   serializableCalls_ += QueryParameter(target, "serializable").empty() ? 0 : 1;
   if (fault_ == StoreFault::kUnresponsive) {
-    unansweredResponders_.push_back(std::move(aRespond));
+    unansweredResponders_.push_back(respond);
     return;
   }
   if (fault_ == StoreFault::kBusy) {
-    aRespond(Json(503, nlohmann::json::object()));
+    respond(Json(503, nlohmann::json::object()));
     return;
   }
   if (target.rfind(kObjects, 0) != 0) {
-    aRespond(Json(404, nlohmann::json::object()));
+    respond(Json(404, nlohmann::json::object()));
     return;
   }
   const std::string path = target.substr(0, target.find('?'));
   const std::string kind = path.substr(kObjects.size());
   if (aRequest.head.method == "POST") {
-    Create(kind, aRequest, aRespond);
+    Create(kind, aRequest, respond);
     return;
   }
   const std::string watch = QueryParameter(target, "watch");
   if (watch.empty()) {
-    List(kind, aRespond);
+    List(kind, respond);
     return;
   }
   Watch(
     kind,
     std::stoull(watch),
     std::chrono::milliseconds(std::stoll(QueryParameter(target, "wait_ms"))),
-    std::move(aRespond));
+    respond);
 }
 
 void StoreStandin::Create(const std::string& aKind,
@@ -140,27 +160,27 @@
     return;
   }
   Put(aKind, name, body.at("spec"));
-  aRespond(Json(200, ObjectJson(name, revision_, body.at("spec"))));
+  aRespond(Json(200, ObjectJson(name, state_.revision, body.at("spec"))));
 }
 
 void StoreStandin::List(const std::string& aKind,
                         const SmallHttpServer::Responder& aRespond)
 {
   nlohmann::json items = nlohmann::json::array();
-  for (const auto& [name, object] : objects_[aKind]) {
+  for (const auto& [name, object] : state_.objects[aKind]) {
     items.push_back(ObjectJson(name, object.revision, object.spec));
   }
   aRespond(Json(200,
                 { { "items", items },
                   { "more", false },
-                  { "store_revision", revision_ } }));
+                  { "store_revision", state_.revision } }));
 }
 
 nlohmann::json StoreStandin::EventsSince(const std::string& aKind,
                                          std::uint64_t aSince) const
 {
   nlohmann::json events = nlohmann::json::array();
-  for (const Event& event : history_) {
+  for (const Event& event : state_.history) {
     if (event.kind == aKind && event.revision > aSince) {
       events.push_back(
         { { "removed", event.removed },
@@ -175,7 +195,7 @@
                          std::chrono::milliseconds aWait,
                          SmallHttpServer::Responder aRespond)
 {
-  if (aSince < historyStart_) {
+  if (aSince < historyStart_ || aSince > state_.revision) {
     aRespond(Json(410, nlohmann::json::object()));
     return;
   }
@@ -192,7 +212,7 @@
       pendingWatches_.erase(at);
       respond(Json(200,
                    { { "events", nlohmann::json::array() },
-                     { "store_revision", revision_ } }));
+                     { "store_revision", state_.revision } }));
     }
   });
   RespondToWatches();
@@ -214,8 +234,8 @@
     const auto respond = pendingWatch->respond;
     pendingWatch->timer->cancel();
     pendingWatch = pendingWatches_.erase(pendingWatch);
-    respond(
-      Json(200, { { "events", events }, { "store_revision", revision_ } }));
+    respond(Json(
+      200, { { "events", events }, { "store_revision", state_.revision } }));
   }
 }
 
--- a/tests/support/StoreStandin.h
+++ b/tests/support/StoreStandin.h
@@ -55,6 +55,18 @@
    */
   void ForgetHistory();
 
+  /**
+   * Keeps the present state as the copy to which RestoreCopy returns. The
+   * history goes with it.
+   */
+  void TakeCopy();
+
+  /**
+   * Returns to the copy, under the next era: later changes are lost and their
+   * revisions are given out again. Pending watches never get a response.
+   */
+  void RestoreCopy();
+
   /** Number of calls received, refused ones included. */
   std::uint64_t Calls() const { return calls_; }
   /** Number of these calls that allow a response from an older state. */
@@ -76,6 +88,13 @@
     bool removed = false;
     nlohmann::json spec;
   };
+  /** What the store loses when it returns to an earlier copy. */
+  struct State
+  {
+    std::map<std::string, std::map<std::string, Object>> objects;
+    std::vector<Event> history;
+    std::uint64_t revision = 100;
+  };
   /** A watch that has not received its response yet. */
   struct PendingWatch
   {
@@ -85,7 +104,7 @@
     std::unique_ptr<asio::steady_timer> timer;
   };
 
-  void Serve(const HttpMessage& aRequest, SmallHttpServer::Responder aRespond);
+  void Serve(const HttpMessage& aRequest, SmallHttpServer::Responder aSend);
   void Create(const std::string& aKind,
               const HttpMessage& aRequest,
               const SmallHttpServer::Responder& aRespond);
@@ -103,12 +122,12 @@
   asio::io_context& context_;
   const std::string address_;
   std::unique_ptr<SmallHttpServer> server_;
-  std::map<std::string, std::map<std::string, Object>> objects_;
-  std::vector<Event> history_;
+  State state_;
+  State copy_;
   std::list<PendingWatch> pendingWatches_;
   /** Responders of calls that get no response. */
   std::vector<SmallHttpServer::Responder> unansweredResponders_;
-  std::uint64_t revision_ = 100;
+  std::uint64_t era_ = 1;
   /** Watches from a lower revision get status 410. */
   std::uint64_t historyStart_ = 0;
   std::uint64_t calls_ = 0;
