--- a/include/lacewing/StoreEra.h
+++ b/include/lacewing/StoreEra.h
@@ -6,8 +6,8 @@
 namespace lacewing {
 
 /**
- * Counts how often the store has come back from a copy; zero if
- * it does not say.
+ * Counts how often the store has come back from a copy. Zero stands for an
+ * unknown era, which every other one replaces.
  */
 using StoreEra = StrongNumber<struct StoreEraTag>;
 
--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -1,7 +1,10 @@
 #include "catalog/CatalogReplica.h"
 
+#include "catalog/ItemOrder.h"
+
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace lacewing {
@@ -15,47 +18,91 @@
 
 } // namespace
 
-bool CatalogReplica::Put(KindState& aState, const CatalogItem& aItem)
+bool CatalogReplica::Put(CatalogKind aKind, CatalogItem aItem)
 {
-  const auto removal = aState.removed.find(aItem.name);
-  if (removal != aState.removed.end()) {
-    if (aItem.revision < removal->second.revision) {
+  KindState& state = states_[IndexOf(aKind)];
+  const auto removal = state.removed.find(aItem.name);
+  if (removal != state.removed.end()) {
+    if (aItem.position < removal->second.position) {
       return false;
     }
-    aState.removed.erase(removal);
+    aItem.unconfirmed |= MayPrecede(aItem, removal->second);
   }
-  const auto current = aState.objects.find(aItem.name);
-  // A newer list did not have the object, so it was removed before that list.
-  const Revision atLeast = current == aState.objects.end()
-                             ? aState.listedAt
-                             : current->second.revision;
-  if (aItem.revision <= atLeast) {
+  const auto current = state.objects.find(aItem.name);
+  if (current != state.objects.end()) {
+    if (!IsNewer(aKind, aItem, current->second)) {
+      return false;
+    }
+  } else if (aKind != CatalogKind::kConfiguration &&
+             aItem.position <= state.listedAt) {
+    // A newer list did not have the object, so it was removed before that list.
     return false;
   }
-  aState.objects[aItem.name] = aItem;
+  if (removal != state.removed.end()) {
+    state.removed.erase(removal);
+  }
+  const std::string name = aItem.name;
+  state.objects[name] = std::move(aItem);
   return true;
 }
 
-bool CatalogReplica::Remove(KindState& aState,
-                            const std::string& aName,
-                            Revision aRevision)
+bool CatalogReplica::Remove(CatalogKind aKind, const CatalogItem& aRemoval)
 {
-  const auto current = aState.objects.find(aName);
-  if (current != aState.objects.end() && current->second.revision > aRevision) {
+  if (aKind == CatalogKind::kConfiguration) {
+    return false;
+  }
+  KindState& state = states_[IndexOf(aKind)];
+  const auto current = state.objects.find(aRemoval.name);
+  if (current != state.objects.end() &&
+      current->second.position > aRemoval.position) {
     return false;
   }
-  CatalogItem& removal = aState.removed[aName];
-  removal.name = aName;
-  removal.removed = true;
-  removal.revision =
-    Revision(std::max(removal.revision.value(), aRevision.value()));
-  if (current == aState.objects.end()) {
+  CatalogItem& removal = state.removed[aRemoval.name];
+  const WriterVersion last = std::max(removal.writer, aRemoval.writer);
+  if (removal.position < aRemoval.position) {
+    removal = aRemoval;
+  }
+  if (current == state.objects.end()) {
+    removal.writer = last;
     return false;
   }
-  aState.objects.erase(current);
+  removal.writer = std::max(last, current->second.writer);
+  state.objects.erase(current);
   return true;
 }
 
+/** Removes the objects that a list of all objects does not have. */
+bool CatalogReplica::RemoveUnlisted(CatalogKind aKind,
+                                    const CatalogChanges& aList)
+{
+  std::set<std::string> listed;
+  for (const CatalogItem& item : aList.items) {
+    if (!item.removed) {
+      listed.insert(item.name);
+    }
+  }
+  std::vector<CatalogItem> removals;
+  for (const auto& [name, item] : ObjectsOf(aKind)) {
+    if (listed.count(name) == 0) {
+      CatalogItem removal;
+      removal.name = name;
+      removal.position = aList.position;
+      removal.removed = true;
+      // A copy of the store lacks objects that were written after it was made;
+      // their writers write them again.
+      removal.unconfirmed =
+        aList.afterOutage || (item.position.era != StoreEra() &&
+                              item.position.era != aList.position.era);
+      removals.push_back(std::move(removal));
+    }
+  }
+  bool changed = false;
+  for (const CatalogItem& removal : removals) {
+    changed |= Remove(aKind, removal);
+  }
+  return changed;
+}
+
 void CatalogReplica::DropOldRemovals(KindState& aState)
 {
   while (aState.removed.size() > kMaxRemovals) {
@@ -63,10 +110,10 @@
       std::min_element(aState.removed.begin(),
                        aState.removed.end(),
                        [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second.revision < aRight.second.revision;
+                         return aLeft.second.position < aRight.second.position;
                        });
-    aState.removalsDroppedUpTo = Revision(std::max(
-      aState.removalsDroppedUpTo.value(), oldest->second.revision.value()));
+    aState.removalsDroppedUpTo =
+      std::max(aState.removalsDroppedUpTo, oldest->second.position);
     aState.removed.erase(oldest);
   }
 }
@@ -75,37 +122,27 @@
 {
   KindState& state = states_[IndexOf(aKind)];
   bool changed = false;
-  std::set<std::string> listed;
   for (const CatalogItem& item : aChanges.items) {
-    if (item.removed) {
-      changed |= Remove(state, item.name, item.revision);
-    } else {
-      listed.insert(item.name);
-      changed |= Put(state, item);
+    if (!item.removed) {
+      changed |= Put(aKind, item);
+      continue;
     }
+    CatalogItem removal = item;
+    removal.unconfirmed |= aChanges.afterOutage;
+    changed |= Remove(aKind, removal);
   }
   if (aChanges.full) {
-    std::vector<std::string> missing;
-    for (const auto& [name, item] : state.objects) {
-      if (listed.count(name) == 0) {
-        missing.push_back(name);
-      }
-    }
-    for (const std::string& name : missing) {
-      changed |= Remove(state, name, aChanges.revision);
-    }
-  }
-  if (aChanges.full) {
-    state.listedAt = std::max(state.listedAt, aChanges.revision);
+    changed |= RemoveUnlisted(aKind, aChanges);
+    state.listedAt = std::max(state.listedAt, aChanges.position);
   }
-  state.revision = std::max(state.revision, aChanges.revision);
+  state.position = std::max(state.position, aChanges.position);
   DropOldRemovals(state);
   return changed;
 }
 
-Revision CatalogReplica::RevisionOf(CatalogKind aKind) const
+StorePosition CatalogReplica::PositionOf(CatalogKind aKind) const
 {
-  return states_[IndexOf(aKind)].revision;
+  return states_[IndexOf(aKind)].position;
 }
 
 const CatalogReplica::Objects& CatalogReplica::ObjectsOf(
@@ -114,22 +151,33 @@
   return states_[IndexOf(aKind)].objects;
 }
 
+bool CatalogReplica::RemovalUnconfirmed(CatalogKind aKind,
+                                        const std::string& aName) const
+{
+  const Objects& removed = states_[IndexOf(aKind)].removed;
+  const auto removal = removed.find(aName);
+  return removal != removed.end() && removal->second.unconfirmed;
+}
+
 CatalogChanges CatalogReplica::Since(CatalogKind aKind,
-                                     Revision aRevision) const
+                                     StorePosition aPosition) const
 {
   const KindState& state = states_[IndexOf(aKind)];
   CatalogChanges changes;
-  changes.revision = state.revision;
-  changes.full =
-    aRevision == Revision() || aRevision < state.removalsDroppedUpTo;
+  changes.position = state.position;
+  // A position of an earlier era does not tell which of this era's changes are
+  // known.
+  changes.full = aPosition == StorePosition() ||
+                 aPosition.era < state.position.era ||
+                 aPosition < state.removalsDroppedUpTo;
   for (const auto& [name, item] : state.objects) {
-    if (changes.full || item.revision > aRevision) {
+    if (changes.full || item.position > aPosition) {
       changes.items.push_back(item);
     }
   }
   if (!changes.full) {
     for (const auto& [name, item] : state.removed) {
-      if (item.revision > aRevision) {
+      if (item.position > aPosition) {
         changes.items.push_back(item);
       }
     }
--- a/src/catalog/CatalogReplica.h
+++ b/src/catalog/CatalogReplica.h
@@ -12,8 +12,9 @@
 
 /**
  * A host's copy of the store's objects of each kind. Changes may arrive from
- * the store or from peers, in any order and more than once. An object is never
- * replaced by a lower revision of itself.
+ * the store or from peers, in any order and more than once. ItemOrder.h says
+ * which of two states of an object is kept. A configuration is only replaced,
+ * never removed, since a host without one can serve nothing.
  */
 class CatalogReplica
 {
@@ -24,37 +25,39 @@
   bool Apply(CatalogKind aKind, const CatalogChanges& aChanges);
 
   /**
-   * Returns the revision up to which the copy is complete; zero before any
+   * Returns the position up to which the copy is complete; zero before any
    * changes were applied.
    */
-  Revision RevisionOf(CatalogKind aKind) const;
+  StorePosition PositionOf(CatalogKind aKind) const;
 
   /** The objects that exist, by name. */
   const Objects& ObjectsOf(CatalogKind aKind) const;
 
+  /** Whether the object was removed and may be written again soon. */
+  bool RemovalUnconfirmed(CatalogKind aKind, const std::string& aName) const;
+
   /**
-   * Returns the changes after aRevision; all objects if aRevision is zero or
-   * older than a removal that is no longer stored.
+   * Returns the changes after aPosition; all objects if aPosition is zero, of
+   * an earlier era, or older than a removal that is no longer stored.
    */
-  CatalogChanges Since(CatalogKind aKind, Revision aRevision) const;
+  CatalogChanges Since(CatalogKind aKind, StorePosition aPosition) const;
 
 private:
   struct KindState
   {
-    Revision revision;
-    /** Revision of the newest list of all objects that was applied. */
-    Revision listedAt;
+    StorePosition position;
+    /** Position of the newest list of all objects that was applied. */
+    StorePosition listedAt;
     Objects objects;
     /** Removed objects, stored so that peers are informed of the removal. */
     Objects removed;
-    /** Removals up to this revision may no longer be stored. */
-    Revision removalsDroppedUpTo;
+    /** Removals up to this position may no longer be stored. */
+    StorePosition removalsDroppedUpTo;
   };
 
-  static bool Remove(KindState& aState,
-                     const std::string& aName,
-                     Revision aRevision);
-  static bool Put(KindState& aState, const CatalogItem& aItem);
+  bool Remove(CatalogKind aKind, const CatalogItem& aRemoval);
+  bool Put(CatalogKind aKind, CatalogItem aItem);
+  bool RemoveUnlisted(CatalogKind aKind, const CatalogChanges& aList);
   static void DropOldRemovals(KindState& aState);
 
   std::array<KindState, kCatalogKinds.size()> states_;
--- a/src/fleet/CatalogPuller.cpp
+++ b/src/fleet/CatalogPuller.cpp
@@ -4,6 +4,7 @@
 #include "fleet/PeerCodec.h"
 #include "http/HttpCaller.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -16,34 +17,43 @@
 constexpr ByteCount kMaxPullResponse{ 8U << 20U };
 constexpr const char* kPath = "/catalog";
 
-/** Parses a list such as "12,40,7" into revisions by CatalogKind. */
-std::optional<std::vector<Revision>> ReadRevisions(std::string_view aText)
+/** Removes a number and the character after it from the start of aText. */
+std::optional<std::uint64_t> TakeNumber(std::string_view& aText)
 {
-  std::vector<Revision> revisions;
+  std::uint64_t value = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (error != std::errc()) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(static_cast<std::size_t>(end - aText.data()));
+  aText.remove_prefix(std::min<std::size_t>(aText.size(), 1));
+  return value;
+}
+
+/** Parses a list such as "1.12,1.40,2.7" into positions by CatalogKind. */
+std::optional<std::vector<StorePosition>> ReadPositions(std::string_view aText)
+{
+  std::vector<StorePosition> positions;
   while (!aText.empty()) {
-    std::uint64_t value = 0;
-    const auto [end, error] =
-      std::from_chars(aText.data(), aText.data() + aText.size(), value);
-    if (error != std::errc()) {
+    const auto era = TakeNumber(aText);
+    const auto revision = TakeNumber(aText);
+    if (!era || !revision) {
       return std::nullopt;
     }
-    revisions.emplace_back(value);
-    aText.remove_prefix(static_cast<std::size_t>(end - aText.data()));
-    if (!aText.empty()) {
-      aText.remove_prefix(1);
-    }
+    positions.push_back({ StoreEra(*era), Revision(*revision) });
   }
-  if (revisions.size() != kCatalogKinds.size()) {
+  if (positions.size() != kCatalogKinds.size()) {
     return std::nullopt;
   }
-  return revisions;
+  return positions;
 }
 
-std::string WriteRevisions(const std::vector<Revision>& aRevisions)
+std::string WritePositions(const std::vector<StorePosition>& aPositions)
 {
   std::string text;
-  for (const Revision revision : aRevisions) {
-    text += (text.empty() ? "" : ",") + std::to_string(revision.value());
+  for (const StorePosition position : aPositions) {
+    text += (text.empty() ? "" : ",") + ToString(position);
   }
   return text;
 }
@@ -61,8 +71,8 @@
    * cachedAfter up to cachedAt.
    */
   std::string cachedBody;
-  std::vector<Revision> cachedAfter;
-  std::vector<Revision> cachedAt;
+  std::vector<StorePosition> cachedAfter;
+  std::vector<StorePosition> cachedAt;
 
   void OnResponse(const ExchangeResult& aResult)
   {
@@ -103,7 +113,7 @@
 }
 
 void CatalogPuller::Pull(const Endpoint& aPeer,
-                         const std::vector<Revision>& aKnown)
+                         const std::vector<StorePosition>& aKnown)
 {
   if (impl_->caller && impl_->caller->Busy()) {
     return;
@@ -117,7 +127,7 @@
   }
   HttpMessage request;
   request.head.method = "GET";
-  request.head.target = std::string(kPath) + "?after=" + WriteRevisions(aKnown);
+  request.head.target = std::string(kPath) + "?after=" + WritePositions(aKnown);
   impl_->caller->Call(
     std::move(request), kPullTimeout, [this](const ExchangeResult& aResult) {
       impl_->OnResponse(aResult);
@@ -134,14 +144,14 @@
   const auto known =
     query == std::string::npos
       ? std::nullopt
-      : ReadRevisions(std::string_view(target).substr(query + kQuery.size()));
+      : ReadPositions(std::string_view(target).substr(query + kQuery.size()));
   if (!known) {
     response.head.status = 400;
     return response;
   }
-  std::vector<Revision> reached;
+  std::vector<StorePosition> reached;
   for (const CatalogKind kind : kCatalogKinds) {
-    reached.push_back(aReplica.RevisionOf(kind));
+    reached.push_back(aReplica.PositionOf(kind));
   }
   if (impl_->cachedAfter != *known || impl_->cachedAt != reached) {
     CatalogPullResponse pull;
--- a/src/fleet/CatalogPuller.h
+++ b/src/fleet/CatalogPuller.h
@@ -30,10 +30,10 @@
   CatalogPuller& operator=(const CatalogPuller&) = delete;
 
   /**
-   * Requests from aPeer all changes after the revisions aKnown (by
+   * Requests from aPeer all changes after the positions aKnown (by
    * CatalogKind). Does nothing while a pull is running.
    */
-  void Pull(const Endpoint& aPeer, const std::vector<Revision>& aKnown);
+  void Pull(const Endpoint& aPeer, const std::vector<StorePosition>& aKnown);
 
   /**
    * Returns the response to a peer's pull request, with status 400 if the
--- a/src/fleet/CatalogSource.h
+++ b/src/fleet/CatalogSource.h
@@ -36,23 +36,25 @@
 
   /**
    * Starts or stops watching the store, or changes the pace of the watch. A
-   * start continues from the revisions aKnown (by CatalogKind), and lists all
-   * objects of a kind whose revision is zero.
+   * start continues from the positions aKnown (by CatalogKind), and lists all
+   * objects of a kind whose position is zero or of an earlier era.
    */
-  virtual void Follow(WatchRole aRole, const std::vector<Revision>& aKnown) = 0;
+  virtual void Follow(WatchRole aRole,
+                      const std::vector<StorePosition>& aKnown) = 0;
 
   /**
    * Reads all objects once, by the cheapest kind of read, whose result may be
-   * some seconds old. A failure is logged and not retried. Does nothing while
-   * this host watches the store.
+   * some seconds old. It may come from before the store returned from a copy,
+   * so it has no era and gives way to all that is read otherwise. A failure is
+   * logged and not retried. Does nothing while this host watches the store.
    */
   virtual void ReadOnce() = 0;
 
   /**
-   * Reports the revisions that peers have reached. A watch that stays behind
+   * Reports the positions that peers have reached. A watch that stays behind
    * them is treated as failed.
    */
-  virtual void NoteRevisions(const std::vector<Revision>& aRevisions) = 0;
+  virtual void NotePositions(const std::vector<StorePosition>& aPositions) = 0;
 
   /**
    * Writes this host's address to the store. Calling it again changes nothing.
--- a/src/fleet/CatalogView.cpp
+++ b/src/fleet/CatalogView.cpp
@@ -2,25 +2,99 @@
 
 #include "core/Log.h"
 
+#include <algorithm>
+
 namespace lacewing {
 
-CatalogView::CatalogView(const CatalogDecoder& aDecoder)
+namespace {
+
+// Targets whose entries expired while the store was away, or that its copy
+// lacks, write them again within about two seconds of its return. A target or a
+// zone out of service that is still missing after this time is gone.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2500);
+// A copy of the store may hold entries of targets that have left. The store
+// drops them after three heartbeats of 1.5 s without a sign of life.
+constexpr Duration kLapseTime = std::chrono::milliseconds(5000);
+
+bool Passed(const std::optional<TimePoint>& aTime,
+            TimePoint aAfter,
+            TimePoint aUpTo)
+{
+  return aTime && *aTime > aAfter && *aTime <= aUpTo;
+}
+
+} // namespace
+
+CatalogView::CatalogView(const CatalogDecoder& aDecoder, const Clock& aClock)
   : decoder_(aDecoder)
+  , clock_(aClock)
 {
 }
 
 void CatalogView::Update(const CatalogReplica& aReplica)
 {
+  updatedAt_ = clock_.Now();
   UpdateRoutes(aReplica);
+  RemoveTargets(aReplica);
   UpdateTargets(aReplica);
-  std::set<ZoneId> zonesOut;
+  UpdateZonesOut(aReplica);
+}
+
+bool CatalogView::Outdated() const
+{
+  const TimePoint now = clock_.Now();
+  const auto passed = [&](const std::optional<TimePoint>& aTime) {
+    return Passed(aTime, updatedAt_, now);
+  };
+  return std::any_of(targets_.begin(),
+                     targets_.end(),
+                     [&](const auto& aTarget) {
+                       return passed(aTarget.second.usableFrom) ||
+                              passed(aTarget.second.usableUntil);
+                     }) ||
+         std::any_of(zonesOut_.begin(),
+                     zonesOut_.end(),
+                     [&](const auto& aZone) { return passed(aZone.second); });
+}
+
+bool CatalogView::Keeps(const CatalogReplica& aReplica,
+                        CatalogKind aKind,
+                        const std::string& aName,
+                        std::optional<TimePoint>& aUntil) const
+{
+  if (!aReplica.RemovalUnconfirmed(aKind, aName)) {
+    return false;
+  }
+  if (!aUntil) {
+    aUntil = updatedAt_ + kReturnTime;
+  }
+  return *aUntil > updatedAt_;
+}
+
+void CatalogView::UpdateZonesOut(const CatalogReplica& aReplica)
+{
+  ZonesOut zonesOut;
   for (const auto& [name, item] : aReplica.ObjectsOf(CatalogKind::kZoneOut)) {
-    zonesOut.insert(ZoneId(name));
+    zonesOut.emplace(ZoneId(name), std::nullopt);
   }
-  if (zonesOut != zonesOut_) {
-    zonesOut_ = std::move(zonesOut);
+  for (auto& [zone, until] : zonesOut_) {
+    if (zonesOut.count(zone) == 0 &&
+        Keeps(aReplica, CatalogKind::kZoneOut, zone.value(), until)) {
+      zonesOut.emplace(zone, until);
+    }
+  }
+  const auto sameZone = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first == aRight.first;
+  };
+  const bool changed = !std::equal(zonesOut.begin(),
+                                   zonesOut.end(),
+                                   zonesOut_.begin(),
+                                   zonesOut_.end(),
+                                   sameZone);
+  zonesOut_ = std::move(zonesOut);
+  if (changed) {
     std::string names;
-    for (const ZoneId& zone : zonesOut_) {
+    for (const auto& [zone, until] : zonesOut_) {
       names += (names.empty() ? "" : ",") + zone.value();
     }
     Log(LogLevel::kInfo, "zones-out", { { "zones", names } });
@@ -31,15 +105,16 @@
 {
   for (const auto& [name, item] :
        aReplica.ObjectsOf(CatalogKind::kConfiguration)) {
-    if (item.revision <= routesRevision_) {
+    StorePosition& decodedAt = routesPositions_[name];
+    if (item.position == decodedAt) {
       continue;
     }
-    routesRevision_ = item.revision;
+    decodedAt = item.position;
     const auto routes = decoder_.DecodeConfiguration(item.body);
     if (!routes) {
       Log(LogLevel::kError,
           "configuration",
-          { { "revision", std::to_string(item.revision.value()) },
+          { { "position", ToString(item.position) },
             { "error", routes.error().ToString() } });
       continue;
     }
@@ -56,30 +131,45 @@
     Log(LogLevel::kInfo,
         "configuration",
         { { "version", std::to_string(routes_->Version().value()) },
-          { "revision", std::to_string(item.revision.value()) },
+          { "position", ToString(item.position) },
           { "routes", std::to_string(routes_->RouteCount()) },
           { "idle_ms", std::to_string(idle.count()) } });
   }
 }
 
-void CatalogView::UpdateTargets(const CatalogReplica& aReplica)
+/** Removes targets that are gone, or keeps them for a removal's grace time. */
+void CatalogView::RemoveTargets(const CatalogReplica& aReplica)
 {
   const auto& objects = aReplica.ObjectsOf(CatalogKind::kTarget);
   for (auto held = targets_.begin(); held != targets_.end();) {
-    if (objects.count(held->first) == 0) {
-      Log(
-        LogLevel::kInfo, "target", { { "id", held->first }, { "is", "gone" } });
-      held = targets_.erase(held);
-    } else {
+    const auto& [name, target] = *held;
+    const bool wasKept = target.usableUntil.has_value();
+    if (objects.count(name) != 0 ||
+        Keeps(aReplica, CatalogKind::kTarget, name, held->second.usableUntil)) {
+      if (!wasKept && target.usableUntil) {
+        Log(LogLevel::kInfo, "target", { { "id", name }, { "is", "missing" } });
+      }
       ++held;
+      continue;
     }
+    Log(LogLevel::kInfo, "target", { { "id", name }, { "is", "gone" } });
+    held = targets_.erase(held);
   }
+}
+
+void CatalogView::UpdateTargets(const CatalogReplica& aReplica)
+{
+  const auto& objects = aReplica.ObjectsOf(CatalogKind::kTarget);
   for (const auto& [name, item] : objects) {
     DecodedTarget& target = targets_[name];
-    if (item.revision <= target.revision) {
+    target.usableUntil.reset();
+    if (item.position == target.position) {
       continue;
     }
-    target.revision = item.revision;
+    target.position = item.position;
+    target.usableFrom = item.unconfirmed
+                          ? std::make_optional(updatedAt_ + kLapseTime)
+                          : std::nullopt;
     const auto spec = decoder_.DecodeTarget(name, item.body);
     target.readable = static_cast<bool>(spec);
     if (!spec) {
@@ -99,7 +189,7 @@
             { "is", target.spec.draining ? "draining" : "usable" },
             { "service", target.spec.service.value() },
             { "zone", target.spec.zone.value() },
-            { "revision", std::to_string(item.revision.value()) } });
+            { "position", ToString(item.position) } });
     }
   }
 }
@@ -108,7 +198,9 @@
 {
   std::vector<TargetSpec> usable;
   for (const auto& [name, target] : targets_) {
-    if (target.readable && !target.spec.draining &&
+    const bool confirmed =
+      !target.usableFrom || *target.usableFrom <= updatedAt_;
+    if (target.readable && confirmed && !target.spec.draining &&
         zonesOut_.count(target.spec.zone) == 0) {
       usable.push_back(target.spec);
     }
--- a/src/fleet/CatalogView.h
+++ b/src/fleet/CatalogView.h
@@ -3,26 +3,32 @@
 
 #include "catalog/CatalogDecoder.h"
 #include "catalog/CatalogReplica.h"
+#include "lacewing/Clock.h"
 
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 
 namespace lacewing {
 
 /**
  * The catalog's objects in decoded form. Objects that cannot be decoded are
- * logged and left out.
+ * logged and left out. What the store says right after it was away or came back
+ * from a copy may still be corrected by the objects' writers: a removal then
+ * takes effect later, and so does the return of a target that was removed.
  */
 class CatalogView
 {
 public:
-  explicit CatalogView(const CatalogDecoder& aDecoder);
+  CatalogView(const CatalogDecoder& aDecoder, const Clock& aClock);
 
   /** Decodes what has changed in aReplica since the last call. */
   void Update(const CatalogReplica& aReplica);
 
+  /** Whether time alone has changed the view since the last update. */
+  bool Outdated() const;
+
   /** The active configuration; null until one has been decoded. */
   const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
 
@@ -35,19 +41,35 @@
 private:
   struct DecodedTarget
   {
-    Revision revision;
+    StorePosition position;
     bool readable = false;
     TargetSpec spec;
+    /** Empty for a target whose return need not be confirmed. */
+    std::optional<TimePoint> usableFrom;
+    /** Set while an unconfirmed removal has not taken effect. */
+    std::optional<TimePoint> usableUntil;
   };
+  using ZonesOut = std::map<ZoneId, std::optional<TimePoint>>;
 
   void UpdateRoutes(const CatalogReplica& aReplica);
   void UpdateTargets(const CatalogReplica& aReplica);
+  void RemoveTargets(const CatalogReplica& aReplica);
+  void UpdateZonesOut(const CatalogReplica& aReplica);
+  /** Whether a removal that may still be undone keeps the object in use. */
+  bool Keeps(const CatalogReplica& aReplica,
+             CatalogKind aKind,
+             const std::string& aName,
+             std::optional<TimePoint>& aUntil) const;
 
   const CatalogDecoder& decoder_;
+  const Clock& clock_;
   std::shared_ptr<const RouteTable> routes_;
-  Revision routesRevision_;
+  /** The position at which each configuration object was decoded last. */
+  std::map<std::string, StorePosition> routesPositions_;
   std::map<std::string, DecodedTarget> targets_;
-  std::set<ZoneId> zonesOut_;
+  /** Each with the time at which an unconfirmed return takes effect. */
+  ZonesOut zonesOut_;
+  TimePoint updatedAt_;
 };
 
 } // namespace lacewing
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -54,6 +54,8 @@
   const Duration firstReadDelay;
   const TimePoint startedAt;
   TimePoint confirmedAt;
+  /** The store's era to which the configuration belongs. */
+  StoreEra era;
   Membership membership;
   RestartLog restarts;
   /** A heartbeat reported that a host joined, left or changed its state. */
@@ -75,7 +77,7 @@
     , identity(aIdentity)
     , source(aSource)
     , firstReadTimer(aContext)
-    , view(aDecoder)
+    , view(aDecoder, aClock)
     , puller(
         aContext,
         aClock,
@@ -125,7 +127,7 @@
   {
     PeerExchange::Events events;
     events.state = [this] {
-      return PeerState{ leaving, election.StoreOk(), Revisions(), confirmedAt };
+      return PeerState{ leaving, election.StoreOk(), Positions(), confirmedAt };
     };
     events.onMembership = [this] { membershipChanged = true; };
     events.onReading = [this](const LoadReading& aReading) {
@@ -137,29 +139,29 @@
     return events;
   }
 
-  std::vector<Revision> Revisions() const
+  std::vector<StorePosition> Positions() const
   {
-    std::vector<Revision> revisions;
+    std::vector<StorePosition> positions;
     for (const CatalogKind kind : kCatalogKinds) {
-      revisions.push_back(replica.RevisionOf(kind));
+      positions.push_back(replica.PositionOf(kind));
     }
-    return revisions;
+    return positions;
   }
 
-  /** Whether any of aRevisions is newer than this host's. */
-  bool IsAhead(const std::vector<Revision>& aRevisions) const
+  /** Whether any of aPositions is newer than this host's. */
+  bool IsAhead(const std::vector<StorePosition>& aPositions) const
   {
     return std::any_of(
       kCatalogKinds.begin(), kCatalogKinds.end(), [&](CatalogKind aKind) {
-        return IndexOf(aKind) < aRevisions.size() &&
-               aRevisions[IndexOf(aKind)] > replica.RevisionOf(aKind);
+        return IndexOf(aKind) < aPositions.size() &&
+               aPositions[IndexOf(aKind)] > replica.PositionOf(aKind);
       });
   }
 
   void OnPeerCatalog(const PeerHeartbeat& aHeartbeat)
   {
-    if (!IsAhead(aHeartbeat.revisions)) {
-      if (aHeartbeat.revisions == Revisions()) {
+    if (!IsAhead(aHeartbeat.positions)) {
+      if (aHeartbeat.positions == Positions()) {
         confirmedAt =
           std::max(confirmedAt, clock.Now() - aHeartbeat.confirmedAge);
       }
@@ -168,7 +170,7 @@
     // Only a zone's speakers pull from other zones, and the other hosts of the
     // zone pull from the speakers, because traffic between zones is charged.
     if (aHeartbeat.from.zone == identity.self.zone || peers->IsSpeaker()) {
-      puller.Pull(aHeartbeat.from.ToEndpoint(), Revisions());
+      puller.Pull(aHeartbeat.from.ToEndpoint(), Positions());
     }
   }
 
@@ -178,8 +180,8 @@
   void PullMissedChanges()
   {
     for (const Peer* peer : peers->Alive()) {
-      if (IsAhead(peer->revisions)) {
-        puller.Pull(peer->address.ToEndpoint(), Revisions());
+      if (IsAhead(peer->positions)) {
+        puller.Pull(peer->address.ToEndpoint(), Positions());
         return;
       }
     }
@@ -187,14 +189,14 @@
 
   void OnPulled(const CatalogPullResponse& aResponse)
   {
-    const std::vector<Revision> before = Revisions();
+    const std::vector<StorePosition> before = Positions();
     bool changed = false;
     for (const CatalogKind kind : kCatalogKinds) {
       changed |= replica.Apply(kind, aResponse.parts[IndexOf(kind)]);
     }
     OnCatalog(changed);
-    source.NoteRevisions(Revisions());
-    if (Revisions() != before && peers->IsSpeaker()) {
+    source.NotePositions(Positions());
+    if (Positions() != before && peers->IsSpeaker()) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
     }
   }
@@ -202,10 +204,10 @@
   void OnStoreChanges(CatalogKind aKind, const CatalogChanges& aChanges)
   {
     confirmedAt = clock.Now();
-    const std::vector<Revision> before = Revisions();
+    const std::vector<StorePosition> before = Positions();
     const bool changed = replica.Apply(aKind, aChanges);
     OnCatalog(changed);
-    if (Revisions() != before) {
+    if (Positions() != before) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
     }
     if (changed) {
@@ -215,12 +217,31 @@
 
   void OnCatalog(bool aChanged)
   {
+    NoteEra();
     if (aChanged) {
       view.Update(replica);
       targetManager.Rebuild(view, *peers);
     }
   }
 
+  /**
+   * A store that came back from a copy may have lost this host's object, which
+   * a host that has no peers needs to find others.
+   */
+  void NoteEra()
+  {
+    const StoreEra reached =
+      replica.PositionOf(CatalogKind::kConfiguration).era;
+    const StoreEra before = std::exchange(era, reached);
+    if (before != StoreEra() && before != reached) {
+      Log(LogLevel::kWarning,
+          "catalog-era",
+          { { "era", std::to_string(reached.value()) },
+            { "before", std::to_string(before.value()) } });
+      directory.RegisterAgain();
+    }
+  }
+
   void OnReachable(bool aReachable)
   {
     election.OnReachable(aReachable);
@@ -239,7 +260,7 @@
       if (election.Role() != WatchRole::kNone) {
         directory.RegisterSelf();
       }
-      source.Follow(election.Role(), Revisions());
+      source.Follow(election.Role(), Positions());
     }
   }
 
@@ -259,8 +280,8 @@
   {
     firstReadTimer.Arm(firstReadDelay, [self = weak_from_this()] {
       const auto impl = self.lock();
-      if (impl &&
-          impl->replica.RevisionOf(CatalogKind::kConfiguration) == Revision()) {
+      if (impl && impl->replica.PositionOf(CatalogKind::kConfiguration) ==
+                    StorePosition()) {
         impl->source.ReadOnce();
       }
     });
@@ -296,6 +317,9 @@
       directory.Find();
     }
     PullMissedChanges();
+    if (view.Outdated()) {
+      OnCatalog(true);
+    }
     targetManager.PublishReadings();
     peers->Tick(targetManager.OwnReadings());
   }
@@ -371,6 +395,10 @@
                 "1 while this host watches the store.",
                 {},
                 impl_->election.Role() == WatchRole::kNone ? 0 : 1);
+  page.AddGauge("lacewing_store_era",
+                "How often the store has come back from a copy, as it says.",
+                {},
+                static_cast<double>(impl_->era.value()));
   page.AddGauge(
     "lacewing_catalog_age_seconds",
     "Seconds since the store last confirmed the catalog.",
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -120,4 +120,11 @@
   }
 }
 
+void HostDirectory::RegisterAgain()
+{
+  if (impl_->registered) {
+    impl_->Register();
+  }
+}
+
 } // namespace lacewing
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -38,6 +38,12 @@
   /** Registers this host, unless a registration was started before. */
   void RegisterSelf();
 
+  /**
+   * Registers this host once more if it was registered, since the store may
+   * have lost its object.
+   */
+  void RegisterAgain();
+
 private:
   struct Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/fleet/Peer.h
+++ b/src/fleet/Peer.h
@@ -1,10 +1,10 @@
 #ifndef FLEET_PEER_H
 #define FLEET_PEER_H
 
+#include "catalog/StorePosition.h"
 #include "fleet/PeerAddress.h"
 #include "lacewing/Clock.h"
 #include "lacewing/Incarnation.h"
-#include "lacewing/Revision.h"
 
 #include <optional>
 #include <vector>
@@ -22,7 +22,7 @@
   std::optional<TimePoint> lastHeartbeatAt;
   bool leaving = false;
   bool storeOk = true;
-  std::vector<Revision> revisions;
+  std::vector<StorePosition> positions;
 };
 
 } // namespace lacewing
--- a/src/fleet/PeerCodec.cpp
+++ b/src/fleet/PeerCodec.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr CborBounds kHeartbeatBounds{ ByteCount(65536), 6, 20000 };
-constexpr CborBounds kPullResponseBounds{ ByteCount(8U << 20U), 6, 200000 };
+constexpr CborBounds kPullResponseBounds{ ByteCount(8U << 20U), 8, 400000 };
 
 template<class Message>
 std::string Encode(const Message& aMessage)
--- a/src/fleet/PeerExchange.cpp
+++ b/src/fleet/PeerExchange.cpp
@@ -88,7 +88,7 @@
     heartbeat.incarnation = identity.incarnation;
     heartbeat.leaving = state.leaving;
     heartbeat.storeOk = state.storeOk;
-    heartbeat.revisions = state.revisions;
+    heartbeat.positions = state.positions;
     heartbeat.confirmedAge = clock.Now() - state.confirmedAt;
     return heartbeat;
   }
--- a/src/fleet/PeerExchange.h
+++ b/src/fleet/PeerExchange.h
@@ -36,7 +36,7 @@
     std::function<void()> onMembership;
     std::function<void(const LoadReading&)> onReading;
     /**
-     * A heartbeat was received; it holds the revisions of the sender's catalog.
+     * A heartbeat was received; it holds the positions of the sender's catalog.
      */
     std::function<void(const PeerHeartbeat&)> onCatalog;
   };
--- a/src/fleet/PeerHeartbeat.h
+++ b/src/fleet/PeerHeartbeat.h
@@ -1,11 +1,11 @@
 #ifndef FLEET_PEERHEARTBEAT_H
 #define FLEET_PEERHEARTBEAT_H
 
+#include "catalog/StorePosition.h"
 #include "fleet/PeerAddress.h"
 #include "fleet/WireReading.h"
 #include "fleet/ZoneDigest.h"
 #include "lacewing/Incarnation.h"
-#include "lacewing/Revision.h"
 #include "wire/WireMember.h"
 
 #include <string>
@@ -32,10 +32,10 @@
   /** The sender can reach the store, or has not tried to. */
   bool storeOk = true;
   /**
-   * The revisions up to which the sender's catalog is complete, by CatalogKind.
+   * The positions up to which the sender's catalog is complete, by CatalogKind.
    */
-  std::vector<Revision> revisions;
-  /** Time since the store last confirmed these revisions. */
+  std::vector<StorePosition> positions;
+  /** Time since the store last confirmed these positions. */
   Duration confirmedAge{ 0 };
   std::vector<WireReading> readings;
   std::vector<PeerAddress> members;
@@ -52,7 +52,7 @@
                            WireMember{ "g", &PeerHeartbeat::greeting },
                            WireMember{ "l", &PeerHeartbeat::leaving },
                            WireMember{ "s", &PeerHeartbeat::storeOk },
-                           WireMember{ "v", &PeerHeartbeat::revisions },
+                           WireMember{ "v", &PeerHeartbeat::positions },
                            WireMember{ "c", &PeerHeartbeat::confirmedAge },
                            WireMember{ "r", &PeerHeartbeat::readings },
                            WireMember{ "m", &PeerHeartbeat::members },
--- a/src/fleet/PeerState.h
+++ b/src/fleet/PeerState.h
@@ -1,8 +1,8 @@
 #ifndef FLEET_PEERSTATE_H
 #define FLEET_PEERSTATE_H
 
+#include "catalog/StorePosition.h"
 #include "lacewing/Clock.h"
-#include "lacewing/Revision.h"
 
 #include <vector>
 
@@ -14,10 +14,10 @@
   bool leaving = false;
   bool storeOk = true;
   /**
-   * The revisions up to which the host's catalog is complete, by CatalogKind.
+   * The positions up to which the host's catalog is complete, by CatalogKind.
    */
-  std::vector<Revision> revisions;
-  /** When the store last confirmed these revisions. */
+  std::vector<StorePosition> positions;
+  /** When the store last confirmed these positions. */
   TimePoint confirmedAt;
 };
 
--- a/src/fleet/PeerTable.cpp
+++ b/src/fleet/PeerTable.cpp
@@ -76,7 +76,7 @@
   peer.lastHeartbeatAt = aNow;
   peer.leaving = aHeartbeat.leaving;
   peer.storeOk = aHeartbeat.storeOk;
-  peer.revisions = aHeartbeat.revisions;
+  peer.positions = aHeartbeat.positions;
   return changed;
 }
 
--- a/tests/CatalogTest.cpp
+++ b/tests/CatalogTest.cpp
@@ -22,14 +22,39 @@
   return route;
 }
 
+/** A position of the first era. */
+StorePosition At(std::uint64_t aRevision)
+{
+  return { StoreEra(1), Revision(aRevision) };
+}
+
+CatalogItem Item(const std::string& aName,
+                 StorePosition aPosition,
+                 bool aRemoved = false)
+{
+  CatalogItem item;
+  item.name = aName;
+  item.position = aPosition;
+  item.removed = aRemoved;
+  item.body = aRemoved ? "" : "body " + ToString(aPosition);
+  return item;
+}
+
 CatalogItem Item(const std::string& aName,
                  std::uint64_t aRevision,
                  bool aRemoved = false)
 {
-  return { aName,
-           Revision(aRevision),
-           aRemoved,
-           aRemoved ? "" : "body " + std::to_string(aRevision) };
+  return Item(aName, At(aRevision), aRemoved);
+}
+
+CatalogChanges List(StorePosition aPosition, std::vector<CatalogItem> aItems)
+{
+  return { true, aPosition, std::move(aItems) };
+}
+
+CatalogChanges Events(StorePosition aPosition, std::vector<CatalogItem> aItems)
+{
+  return { false, aPosition, std::move(aItems) };
 }
 
 } // namespace
@@ -77,7 +102,7 @@
       CatalogChanges changes;
       const auto name = "o" + std::to_string(*rc::gen::inRange(0, 4));
       ++revision;
-      changes.revision = Revision(revision);
+      changes.position = At(revision);
       changes.items = { Item(name, revision, *rc::gen::inRange(0, 3) == 0) };
       reference.Apply(CatalogKind::kTarget, changes);
       history.push_back(changes);
@@ -106,31 +131,29 @@
 TEST_CASE("catalog: a pull returns changes and removals after a revision")
 {
   CatalogReplica ours;
-  ours.Apply(CatalogKind::kTarget,
-             { true, Revision(5), { Item("a", 3), Item("b", 4) } });
+  ours.Apply(CatalogKind::kTarget, List(At(5), { Item("a", 3), Item("b", 4) }));
   CatalogReplica theirs;
   theirs.Apply(CatalogKind::kTarget, ours.Since(CatalogKind::kTarget, {}));
   ours.Apply(CatalogKind::kTarget,
-             { false, Revision(8), { Item("a", 8, true), Item("c", 7) } });
+             Events(At(8), { Item("a", 8, true), Item("c", 7) }));
   const CatalogChanges changes =
-    ours.Since(CatalogKind::kTarget, theirs.RevisionOf(CatalogKind::kTarget));
+    ours.Since(CatalogKind::kTarget, theirs.PositionOf(CatalogKind::kTarget));
   CHECK_FALSE(changes.full);
   CHECK(changes.items.size() == 2);
   theirs.Apply(CatalogKind::kTarget, changes);
   CHECK(theirs.ObjectsOf(CatalogKind::kTarget).count("a") == 0);
   CHECK(theirs.ObjectsOf(CatalogKind::kTarget).count("c") == 1);
-  CHECK(theirs.RevisionOf(CatalogKind::kTarget) == Revision(8));
+  CHECK(theirs.PositionOf(CatalogKind::kTarget) == At(8));
 }
 
 // Guards against an outdated list, received late, removing newer objects.
 TEST_CASE("catalog: an older list does not remove newer objects")
 {
   CatalogReplica replica;
-  replica.Apply(CatalogKind::kTarget,
-                { false, Revision(9), { Item("new", 9) } });
-  replica.Apply(CatalogKind::kTarget, { true, Revision(6), { Item("a", 3) } });
+  replica.Apply(CatalogKind::kTarget, Events(At(9), { Item("new", 9) }));
+  replica.Apply(CatalogKind::kTarget, List(At(6), { Item("a", 3) }));
   CHECK(replica.ObjectsOf(CatalogKind::kTarget).size() == 2);
-  CHECK(replica.RevisionOf(CatalogKind::kTarget) == Revision(9));
+  CHECK(replica.PositionOf(CatalogKind::kTarget) == At(9));
 }
 
 // Guards against a target that left and is in use again after a restart: the
@@ -138,23 +161,21 @@
 // a store that serves old reads, arrived later.
 TEST_CASE("catalog: an older list brings back nothing that a newer one lacks")
 {
-  const CatalogChanges older = { true,
-                                 Revision(10),
-                                 { Item("left", 5), Item("stays", 6) } };
-  const CatalogChanges newer = { true,
-                                 Revision(20),
-                                 { Item("stays", 6), Item("new", 15) } };
+  const CatalogChanges older =
+    List(At(10), { Item("left", 5), Item("stays", 6) });
+  const CatalogChanges newer =
+    List(At(20), { Item("stays", 6), Item("new", 15) });
   CatalogReplica restarted;
   restarted.Apply(CatalogKind::kTarget, newer);
   CHECK_FALSE(restarted.Apply(CatalogKind::kTarget, older));
   // The same object in changes that a lagging peer sends.
-  CHECK_FALSE(restarted.Apply(CatalogKind::kTarget,
-                              { false, Revision(12), { Item("left", 5) } }));
+  CHECK_FALSE(
+    restarted.Apply(CatalogKind::kTarget, Events(At(12), { Item("left", 5) })));
   CHECK(restarted.ObjectsOf(CatalogKind::kTarget).size() == 2);
   CHECK(restarted.ObjectsOf(CatalogKind::kTarget).count("left") == 0);
-  CHECK(restarted.RevisionOf(CatalogKind::kTarget) == Revision(20));
+  CHECK(restarted.PositionOf(CatalogKind::kTarget) == At(20));
   // A target that registers again under its name is back.
   CHECK(restarted.Apply(CatalogKind::kTarget,
-                        { false, Revision(21), { Item("left", 21) } }));
+                        Events(At(21), { Item("left", 21) })));
   CHECK(restarted.ObjectsOf(CatalogKind::kTarget).count("left") == 1);
 }
--- a/tests/FleetControlTest.cpp
+++ b/tests/FleetControlTest.cpp
@@ -4,6 +4,7 @@
 #include "support/FreePorts.h"
 
 #include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
 #include <doctest/doctest.h>
 
 using namespace lacewing;
@@ -14,22 +15,34 @@
 class CountingSource final : public CatalogSource
 {
 public:
-  void SetEvents(Events) override {}
-  void Follow(WatchRole aRole, const std::vector<Revision>&) override
+  explicit CountingSource(asio::io_context& aContext)
+    : context_(aContext)
+  {
+  }
+
+  void SetEvents(Events aEvents) override { events = std::move(aEvents); }
+  void Follow(WatchRole aRole, const std::vector<StorePosition>&) override
   {
     watches += aRole == WatchRole::kNone ? 0 : 1;
   }
   void ReadOnce() override { ++reads; }
-  void NoteRevisions(const std::vector<Revision>&) override {}
-  void RegisterHost(const PeerAddress&, DoneHandler) override
+  void NotePositions(const std::vector<StorePosition>&) override {}
+  void RegisterHost(const PeerAddress&, DoneHandler aHandler) override
   {
     ++registrations;
+    asio::post(context_, [handler = std::move(aHandler)] {
+      handler(outcome::success());
+    });
   }
   void ListHosts(ListHandler) override {}
 
   int reads = 0;
   int watches = 0;
   int registrations = 0;
+  Events events;
+
+private:
+  asio::io_context& context_;
 };
 
 /** Fails to decode any object. */
@@ -83,7 +96,7 @@
     heartbeat.incarnation = aIncarnation;
     heartbeat.storeOk = true;
     heartbeat.members = std::move(aMembers);
-    heartbeat.revisions.resize(kCatalogKinds.size());
+    heartbeat.positions.resize(kCatalogKinds.size());
     peer_.send_to(asio::buffer(EncodeHeartbeat(heartbeat)),
                   { asio::ip::address_v4::loopback(), ports_.Port(0) });
   }
@@ -102,7 +115,7 @@
   }
 
   asio::io_context context;
-  CountingSource source;
+  CountingSource source{ context };
   SnapshotCell<FleetSnapshot> fleet{ std::make_shared<const FleetSnapshot>() };
 
 private:
@@ -145,6 +158,28 @@
   CHECK(host.source.watches == 1);
 }
 
+// Guards against a host that no starting host finds in the store, since the
+// store came back from a copy without its object.
+TEST_CASE("fleet: a watching host registers again in a new era of the store")
+{
+  StartingHost host;
+  host.RunFor(std::chrono::milliseconds(700));
+  REQUIRE(host.source.registrations == 1);
+  const auto list = [&](std::uint64_t aEra) {
+    CatalogChanges changes;
+    changes.full = true;
+    changes.position = { StoreEra(aEra), Revision(9) };
+    host.source.events.onChanges(CatalogKind::kConfiguration, changes);
+    host.RunFor(std::chrono::milliseconds(50));
+  };
+  list(1);
+  CHECK(host.source.registrations == 1);
+  list(2);
+  CHECK(host.source.registrations == 2);
+  list(2);
+  CHECK(host.source.registrations == 2);
+}
+
 // Guards against one list of the whole store by each of hundreds of hosts at
 // the first start of a deployment, when no callers wait for it, and against a
 // host that waits for its peers while callers come.
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -23,7 +23,7 @@
   PeerHeartbeat heartbeat;
   heartbeat.from = MakeAddress(aHost, aZone);
   heartbeat.incarnation = Incarnation(aIncarnation);
-  heartbeat.revisions.resize(3);
+  heartbeat.positions.resize(3);
   return heartbeat;
 }
 
@@ -36,7 +36,9 @@
   PeerHeartbeat heartbeat = MakeHeartbeat("h1", "z1", 77);
   heartbeat.greeting = true;
   heartbeat.storeOk = false;
-  heartbeat.revisions = { Revision(4), Revision(5), Revision(6) };
+  heartbeat.positions = { { StoreEra(1), Revision(4) },
+                          { StoreEra(1), Revision(5) },
+                          { StoreEra(2), Revision(6) } };
   heartbeat.members = { MakeAddress("h2", "z2") };
   WireReading reading;
   reading.target = TargetId("t");
@@ -50,7 +52,7 @@
   CHECK(decoded.value().incarnation == Incarnation(77));
   CHECK(decoded.value().greeting);
   CHECK_FALSE(decoded.value().storeOk);
-  CHECK(decoded.value().revisions == heartbeat.revisions);
+  CHECK(decoded.value().positions == heartbeat.positions);
   CHECK(decoded.value().members.at(0).host == HostId("h2"));
   CHECK(decoded.value().readings.at(0).slowdownPercent == 400);
   // The reading states no slots, so the target reports no load.
@@ -86,7 +88,12 @@
   }
   CatalogPullResponse pull;
   pull.parts.resize(3);
-  pull.parts[0].items = { { "main", Revision(7), false, configuration } };
+  pull.parts[0].items = { { "main",
+                            { StoreEra(1), Revision(7) },
+                            false,
+                            configuration,
+                            { Incarnation(3), WriteCount(9) },
+                            true } };
   const std::string packed = EncodePullResponse(pull);
   CHECK(packed.size() < configuration.size() / 5);
   const auto unpacked = DecodePullResponse(packed);
--- a/tests/KindWatcherTest.cpp
+++ b/tests/KindWatcherTest.cpp
@@ -57,19 +57,20 @@
   asio::io_context context(1);
   const MonotonicClock clock;
   OneChangeStore store;
-  Revision reached;
+  StorePosition reached;
   platform::KindWatcher::Events events;
   events.onChanges = [&](CatalogKind, const CatalogChanges& aChanges) {
-    reached = aChanges.revision;
+    reached = aChanges.position;
   };
+  events.onEra = [](StoreEra) {};
   events.onFailure = [] {};
   platform::KindWatcher watcher(
     context, clock, store.Address(), CatalogKind::kTarget, std::move(events));
-  watcher.Start(Revision());
+  watcher.Start({});
   REQUIRE(RunUntil(context, [&] { return store.WatchesFrom100() == 1; }));
-  watcher.NoteRevision(Revision(101));
+  watcher.NotePosition({ StoreEra(), Revision(101) });
   KeepBusy(context, kBusy);
-  CHECK(RunUntil(context, [&] { return reached == Revision(101); }));
+  CHECK(RunUntil(context, [&] { return reached.revision == Revision(101); }));
   RunUntil(context, [end = std::chrono::steady_clock::now() + 300ms] {
     return std::chrono::steady_clock::now() > end;
   });
--- a/tests/PlatformDecodingTest.cpp
+++ b/tests/PlatformDecodingTest.cpp
@@ -110,11 +110,13 @@
   const auto page = ReadList(
     "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4},\"spec\":"
     "\"\xff\xfe\"},{\"metadata\":{\"name\":\"b\",\"revision\":5},"
-    "\"spec\":{}}],\"more\":false,\"store_revision\":9}");
+    "\"spec\":{}}],\"more\":false,\"store_revision\":9}",
+    StoreEra(1),
+    {});
   REQUIRE(page);
   CHECK(page.value().changes.items.size() == 2);
-  CHECK(page.value().changes.revision == Revision(9));
-  CHECK_FALSE(ReadList("{\"items\":[]}"));
+  CHECK(page.value().changes.position.revision == Revision(9));
+  CHECK_FALSE(ReadList("{\"items\":[]}", StoreEra(1), {}));
 }
 
 // Guards against a removal that is applied after a later creation.
@@ -126,13 +128,15 @@
      {"removed":false,"object":{"metadata":{"name":"a","revision":8},
       "spec":1}},
      {"removed":true,"object":{"metadata":{"name":"b","revision":3}}}],
-     "store_revision":9})");
+     "store_revision":9})",
+    StoreEra(1),
+    {});
   REQUIRE(changes);
   REQUIRE(changes.value().items.size() == 2);
   CHECK_FALSE(changes.value().items[0].removed);
-  CHECK(changes.value().items[0].revision == Revision(8));
+  CHECK(changes.value().items[0].position.revision == Revision(8));
   CHECK(changes.value().items[1].removed);
-  CHECK(changes.value().items[1].revision == Revision(9));
+  CHECK(changes.value().items[1].position.revision == Revision(9));
 }
 
 // Guards against a load that is taken from an incomplete header.
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -1,11 +1,14 @@
 #include "platform/PlatformStore.h"
 #include "catalog/CatalogReplica.h"
 #include "core/MonotonicClock.h"
+#include "fleet/CatalogView.h"
+#include "platform/ObjectDecoder.h"
 #include "support/RunUntil.h"
 #include "support/StoreStandin.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -31,7 +34,7 @@
 
   void Follow()
   {
-    client.Follow(WatchRole::kPrimary, std::vector<Revision>(3));
+    client.Follow(WatchRole::kPrimary, std::vector<StorePosition>(3));
   }
 
   bool HasTarget(const std::string& aTarget) const
@@ -58,6 +61,33 @@
   platform::PlatformStore client;
 };
 
+const nlohmann::json kServer = { { "service", "s" },
+                                 { "address", "127.0.0.1:9" },
+                                 { "zone", "z" },
+                                 { "slots", 1 },
+                                 { "state", "ready" } };
+
+/** The fixture with the view that a host takes its targets from. */
+struct ViewFixture : Fixture
+{
+  bool Uses(const std::string& aTarget)
+  {
+    view.Update(replica);
+    const std::vector<TargetSpec> usable = view.UsableTargets();
+    return std::any_of(usable.begin(), usable.end(), [&](const auto& aSpec) {
+      return aSpec.id == TargetId(aTarget);
+    });
+  }
+
+  bool RunUntilUsed(const std::string& aTarget, bool aUsed)
+  {
+    return RunUntil(context, [&] { return Uses(aTarget) == aUsed; });
+  }
+
+  platform::ObjectDecoder decoder;
+  CatalogView view{ decoder, clock };
+};
+
 } // namespace
 
 // Guards against missed objects and missed removals.
@@ -173,11 +203,11 @@
 TEST_CASE(
   "platform store: entries that expired in an outage have time to return")
 {
-  Fixture fix;
-  fix.store.Put("servers", "back", { { "slots", 1 } });
-  fix.store.Put("servers", "lost", { { "slots", 1 } });
+  ViewFixture fix;
+  fix.store.Put("servers", "back", kServer);
+  fix.store.Put("servers", "lost", kServer);
   fix.Follow();
-  REQUIRE(fix.RunUntilPresent("lost", true));
+  REQUIRE(fix.RunUntilUsed("lost", true));
   fix.store.SetFault(StoreFault::kBusy);
   REQUIRE(RunUntil(fix.context, [&] { return fix.reachable == false; }));
   fix.store.Remove("servers", "back");
@@ -185,11 +215,11 @@
   fix.store.SetFault(StoreFault::kNone);
   REQUIRE(RunUntil(fix.context, [&] { return fix.reachable == true; }));
   fix.RunFor(std::chrono::milliseconds(1000));
-  CHECK(fix.HasTarget("back"));
-  CHECK(fix.HasTarget("lost"));
-  fix.store.Put("servers", "back", { { "slots", 1 } });
-  CHECK(fix.RunUntilPresent("lost", false));
-  CHECK(fix.HasTarget("back"));
+  CHECK(fix.Uses("back"));
+  CHECK(fix.Uses("lost"));
+  fix.store.Put("servers", "back", kServer);
+  CHECK(fix.RunUntilUsed("lost", false));
+  CHECK(fix.Uses("back"));
 }
 
 // Guards against a watch whose connection alone has become unresponsive.
@@ -201,7 +231,7 @@
   fix.store.SetFault(StoreFault::kUnresponsive);
   fix.store.Put("servers", "a", { { "slots", 1 } });
   fix.store.SetFault(StoreFault::kNone);
-  fix.client.NoteRevisions({ Revision(0), Revision(101), Revision(0) });
+  fix.client.NotePositions({ {}, { StoreEra(1), Revision(101) }, {} });
   CHECK(fix.RunUntilPresent("a", true));
 }
 
