Keep removals in doubt apart from the limit of confirmed ones

Callers would see: after a copy of the store that lacks more than 512 targets, or an outage in which more expired, the others are out of use at once on all hosts; and a host that fell behind takes every target that is missing for gone, without the 2.5 s that its peers wait.

Cause: the limit of stored removals dropped unconfirmed ones, whose mark is what keeps the target; and all objects told a peer of removals by absence only, which is without the mark within an era. Class: a position advances without its content.

Change: confirmed and unconfirmed removals have limits of their own (512 and 16384), and unconfirmed ones are part of all objects.

--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -15,6 +15,9 @@
 // churn of a few hundred targets; a peer that needs older ones gets all
 // objects.
 constexpr std::size_t kMaxRemovals = 512;
+// A copy of the store may lack most targets of a large site. Dropping one of
+// these removals would take the target out of use before it can write again.
+constexpr std::size_t kMaxUnconfirmedRemovals = 16384;
 
 } // namespace
 
@@ -105,13 +108,33 @@
 
 void CatalogReplica::DropOldRemovals(KindState& aState)
 {
-  while (aState.removed.size() > kMaxRemovals) {
-    const auto oldest =
-      std::min_element(aState.removed.begin(),
-                       aState.removed.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second.position < aRight.second.position;
-                       });
+  DropOldest(aState, false, kMaxRemovals);
+  DropOldest(aState, true, kMaxUnconfirmedRemovals);
+}
+
+/** Drops the oldest of the confirmed or unconfirmed removals beyond aLimit. */
+void CatalogReplica::DropOldest(KindState& aState,
+                                bool aUnconfirmed,
+                                std::size_t aLimit)
+{
+  if (aState.removed.size() <= aLimit) {
+    return;
+  }
+  std::vector<Objects::iterator> removals;
+  for (auto at = aState.removed.begin(); at != aState.removed.end(); ++at) {
+    if (at->second.unconfirmed == aUnconfirmed) {
+      removals.push_back(at);
+    }
+  }
+  if (removals.size() <= aLimit) {
+    return;
+  }
+  std::sort(
+    removals.begin(), removals.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft->second.position < aRight->second.position;
+    });
+  removals.resize(removals.size() - aLimit);
+  for (const Objects::iterator& oldest : removals) {
     aState.removalsDroppedUpTo =
       std::max(aState.removalsDroppedUpTo, oldest->second.position);
     aState.removed.erase(oldest);
@@ -175,11 +198,10 @@
       changes.items.push_back(item);
     }
   }
-  if (!changes.full) {
-    for (const auto& [name, item] : state.removed) {
-      if (item.position > aPosition) {
-        changes.items.push_back(item);
-      }
+  // Absence from all objects does not tell that a removal is unconfirmed.
+  for (const auto& [name, item] : state.removed) {
+    if (changes.full ? item.unconfirmed : item.position > aPosition) {
+      changes.items.push_back(item);
     }
   }
   return changes;
--- a/src/catalog/CatalogReplica.h
+++ b/src/catalog/CatalogReplica.h
@@ -37,8 +37,9 @@
   bool RemovalUnconfirmed(CatalogKind aKind, const std::string& aName) const;
 
   /**
-   * Returns the changes after aPosition; all objects if aPosition is zero, of
-   * an earlier era, or older than a removal that is no longer stored.
+   * Returns the changes after aPosition; all objects and all unconfirmed
+   * removals if aPosition is zero, of an earlier era, or older than a removal
+   * that is no longer stored.
    */
   CatalogChanges Since(CatalogKind aKind, StorePosition aPosition) const;
 
@@ -59,6 +60,9 @@
   bool Put(CatalogKind aKind, CatalogItem aItem);
   bool RemoveUnlisted(CatalogKind aKind, const CatalogChanges& aList);
   static void DropOldRemovals(KindState& aState);
+  static void DropOldest(KindState& aState,
+                         bool aUnconfirmed,
+                         std::size_t aLimit);
 
   std::array<KindState, kCatalogKinds.size()> states_;
 };
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -278,3 +278,38 @@
     }
   }));
 }
+
+// Guards against dropping targets at once because a copy lacks more of them
+// than removals are stored.
+TEST_CASE("restored store: many targets that the copy lacks have time to return")
+{
+  Host host;
+  std::vector<CatalogItem> targets;
+  for (std::uint64_t target = 0; target < 600; ++target) {
+    targets.push_back(Target("t" + std::to_string(target), At(1, target), 1));
+  }
+  host.List(kTarget, At(1, 700), targets);
+  CHECK(host.view.UsableTargets().size() == 600);
+  host.List(kTarget, At(2, 10), {});
+  CHECK(host.view.UsableTargets().size() == 600);
+  host.Wait(2600ms);
+  CHECK(host.view.UsableTargets().empty());
+}
+
+// Guards against a peer that gets all objects instead of the removals and
+// takes targets that expired in an outage for gone.
+TEST_CASE("restored store: a full pull passes on that a removal may be undone")
+{
+  Host host;
+  Host peer;
+  host.List(kTarget, At(1, 10), { Target("t", At(1, 5), 1) });
+  peer.PullFrom(host);
+  for (std::uint64_t old = 0; old < 600; ++old) {
+    host.Change(kTarget, Removal("o" + std::to_string(old), At(1, 20 + old)));
+  }
+  host.Apply(kTarget,
+             { false, At(1, 700), { Removal("t", At(1, 700)) }, true });
+  CHECK(host.Uses("t"));
+  peer.PullFrom(host);
+  CHECK(peer.Uses("t"));
+}
