Give writers as long again after each return of the store

Callers would see, after two returns of the store in quick succession: targets out of use before their entries could be back; requests to a target that has left; a target in use that gets no request for 5 s.

Cause: the grace time of a removal started once, an unconfirmed return lost its mark when the next copy had the entry too, and the mark took a target out of use that the host had kept. Class: a position advances without its content.

Change: a list of a later era renews unconfirmed removals that it lacks, the mark is kept until the writer writes, and a target in use stays in use unless it drained.

--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -36,6 +36,8 @@
     if (!IsNewer(aKind, aItem, current->second)) {
       return false;
     }
+    aItem.unconfirmed |=
+      current->second.unconfirmed && MayPrecede(aItem, current->second);
   } else if (aKind != CatalogKind::kConfiguration &&
              aItem.position <= state.listedAt) {
     // A newer list did not have the object, so it was removed before that list.
@@ -62,12 +64,14 @@
   }
   CatalogItem& removal = state.removed[aRemoval.name];
   const WriterVersion last = std::max(removal.writer, aRemoval.writer);
+  bool corrected = false;
   if (removal.position < aRemoval.position) {
+    corrected = removal.unconfirmed;
     removal = aRemoval;
   }
   if (current == state.objects.end()) {
     removal.writer = last;
-    return false;
+    return corrected;
   }
   removal.writer = std::max(last, current->second.writer);
   state.objects.erase(current);
@@ -99,6 +103,14 @@
       removals.push_back(std::move(removal));
     }
   }
+  // After another return the writers need as long again.
+  for (const auto& [name, item] : states_[IndexOf(aKind)].removed) {
+    if (item.unconfirmed && item.position.era < aList.position.era &&
+        listed.count(name) == 0) {
+      removals.push_back(item);
+      removals.back().position = aList.position;
+    }
+  }
   bool changed = false;
   for (const CatalogItem& removal : removals) {
     changed |= Remove(aKind, removal);
@@ -174,12 +186,15 @@
   return states_[IndexOf(aKind)].objects;
 }
 
-bool CatalogReplica::RemovalUnconfirmed(CatalogKind aKind,
-                                        const std::string& aName) const
+const CatalogItem* CatalogReplica::UnconfirmedRemoval(
+  CatalogKind aKind,
+  const std::string& aName) const
 {
   const Objects& removed = states_[IndexOf(aKind)].removed;
   const auto removal = removed.find(aName);
-  return removal != removed.end() && removal->second.unconfirmed;
+  return removal != removed.end() && removal->second.unconfirmed
+           ? &removal->second
+           : nullptr;
 }
 
 CatalogChanges CatalogReplica::Since(CatalogKind aKind,
--- a/src/catalog/CatalogReplica.h
+++ b/src/catalog/CatalogReplica.h
@@ -33,8 +33,9 @@
   /** The objects that exist, by name. */
   const Objects& ObjectsOf(CatalogKind aKind) const;
 
-  /** Whether the object was removed and may be written again soon. */
-  bool RemovalUnconfirmed(CatalogKind aKind, const std::string& aName) const;
+  /** The removal of an object that may be written again soon, or null. */
+  const CatalogItem* UnconfirmedRemoval(CatalogKind aKind,
+                                        const std::string& aName) const;
 
   /**
    * Returns the changes after aPosition; all objects and all unconfirmed
--- a/src/fleet/CatalogView.cpp
+++ b/src/fleet/CatalogView.cpp
@@ -46,29 +46,36 @@
   const auto passed = [&](const std::optional<TimePoint>& aTime) {
     return Passed(aTime, updatedAt_, now);
   };
+  const auto missingPassed = [&](const std::optional<GraceTime>& aMissing) {
+    return aMissing && Passed(aMissing->until, updatedAt_, now);
+  };
   return std::any_of(targets_.begin(),
                      targets_.end(),
                      [&](const auto& aTarget) {
                        return passed(aTarget.second.usableFrom) ||
-                              passed(aTarget.second.usableUntil);
+                              missingPassed(aTarget.second.missing);
                      }) ||
          std::any_of(zonesOut_.begin(),
                      zonesOut_.end(),
-                     [&](const auto& aZone) { return passed(aZone.second); });
+                     [&](const auto& aZone) {
+                       return missingPassed(aZone.second);
+                     });
 }
 
 bool CatalogView::Keeps(const CatalogReplica& aReplica,
                         CatalogKind aKind,
                         const std::string& aName,
-                        std::optional<TimePoint>& aUntil) const
+                        std::optional<GraceTime>& aMissing) const
 {
-  if (!aReplica.RemovalUnconfirmed(aKind, aName)) {
+  const CatalogItem* removal = aReplica.UnconfirmedRemoval(aKind, aName);
+  if (removal == nullptr) {
     return false;
   }
-  if (!aUntil) {
-    aUntil = updatedAt_ + kReturnTime;
+  // The store has been away again since, so the writer needs as long again.
+  if (!aMissing || aMissing->removedAt < removal->position) {
+    aMissing = GraceTime{ removal->position, updatedAt_ + kReturnTime };
   }
-  return *aUntil > updatedAt_;
+  return aMissing->until > updatedAt_;
 }
 
 void CatalogView::UpdateZonesOut(const CatalogReplica& aReplica)
@@ -77,10 +84,10 @@
   for (const auto& [name, item] : aReplica.ObjectsOf(CatalogKind::kZoneOut)) {
     zonesOut.emplace(ZoneId(name), std::nullopt);
   }
-  for (auto& [zone, until] : zonesOut_) {
+  for (auto& [zone, missing] : zonesOut_) {
     if (zonesOut.count(zone) == 0 &&
-        Keeps(aReplica, CatalogKind::kZoneOut, zone.value(), until)) {
-      zonesOut.emplace(zone, until);
+        Keeps(aReplica, CatalogKind::kZoneOut, zone.value(), missing)) {
+      zonesOut.emplace(zone, missing);
     }
   }
   const auto sameZone = [](const auto& aLeft, const auto& aRight) {
@@ -94,7 +101,7 @@
   zonesOut_ = std::move(zonesOut);
   if (changed) {
     std::string names;
-    for (const auto& [zone, until] : zonesOut_) {
+    for (const auto& [zone, missing] : zonesOut_) {
       names += (names.empty() ? "" : ",") + zone.value();
     }
     Log(LogLevel::kInfo, "zones-out", { { "zones", names } });
@@ -143,10 +150,10 @@
   const auto& objects = aReplica.ObjectsOf(CatalogKind::kTarget);
   for (auto held = targets_.begin(); held != targets_.end();) {
     const auto& [name, target] = *held;
-    const bool wasKept = target.usableUntil.has_value();
+    const bool wasKept = target.missing.has_value();
     if (objects.count(name) != 0 ||
-        Keeps(aReplica, CatalogKind::kTarget, name, held->second.usableUntil)) {
-      if (!wasKept && target.usableUntil) {
+        Keeps(aReplica, CatalogKind::kTarget, name, held->second.missing)) {
+      if (!wasKept && target.missing) {
         Log(LogLevel::kInfo, "target", { { "id", name }, { "is", "missing" } });
       }
       ++held;
@@ -162,14 +169,20 @@
   const auto& objects = aReplica.ObjectsOf(CatalogKind::kTarget);
   for (const auto& [name, item] : objects) {
     DecodedTarget& target = targets_[name];
-    target.usableUntil.reset();
+    target.missing.reset();
     if (item.position == target.position) {
       continue;
     }
+    // A target in use whose removal was not confirmed stays in use.
+    const bool inUse =
+      target.readable && !target.spec.draining &&
+      (!target.usableFrom || *target.usableFrom <= updatedAt_);
     target.position = item.position;
-    target.usableFrom = item.unconfirmed
-                          ? std::make_optional(updatedAt_ + kLapseTime)
-                          : std::nullopt;
+    if (!item.unconfirmed) {
+      target.usableFrom.reset();
+    } else if (!inUse) {
+      target.usableFrom = updatedAt_ + kLapseTime;
+    }
     const auto spec = decoder_.DecodeTarget(name, item.body);
     target.readable = static_cast<bool>(spec);
     if (!spec) {
--- a/src/fleet/CatalogView.h
+++ b/src/fleet/CatalogView.h
@@ -39,6 +39,12 @@
   std::vector<TargetSpec> UsableTargets() const;
 
 private:
+  /** How long an object stays in use after an unconfirmed removal. */
+  struct GraceTime
+  {
+    StorePosition removedAt;
+    TimePoint until;
+  };
   struct DecodedTarget
   {
     StorePosition position;
@@ -47,9 +53,9 @@
     /** Empty for a target whose return need not be confirmed. */
     std::optional<TimePoint> usableFrom;
     /** Set while an unconfirmed removal has not taken effect. */
-    std::optional<TimePoint> usableUntil;
+    std::optional<GraceTime> missing;
   };
-  using ZonesOut = std::map<ZoneId, std::optional<TimePoint>>;
+  using ZonesOut = std::map<ZoneId, std::optional<GraceTime>>;
 
   void UpdateRoutes(const CatalogReplica& aReplica);
   void UpdateTargets(const CatalogReplica& aReplica);
@@ -59,7 +65,7 @@
   bool Keeps(const CatalogReplica& aReplica,
              CatalogKind aKind,
              const std::string& aName,
-             std::optional<TimePoint>& aUntil) const;
+             std::optional<GraceTime>& aMissing) const;
 
   const CatalogDecoder& decoder_;
   const Clock& clock_;
@@ -67,7 +73,7 @@
   /** The position at which each configuration object was decoded last. */
   std::map<std::string, StorePosition> routesPositions_;
   std::map<std::string, DecodedTarget> targets_;
-  /** Each with the time at which an unconfirmed return takes effect. */
+  /** Each with the grace time of an unconfirmed removal. */
   ZonesOut zonesOut_;
   TimePoint updatedAt_;
 };
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -313,3 +313,60 @@
   peer.PullFrom(host);
   CHECK(peer.Uses("t"));
 }
+
+// Guards against dropping targets whose time to write again was cut short by
+// another return.
+TEST_CASE("restored store: a second return renews the time to write again")
+{
+  Host host;
+  host.List(kTarget, At(1, 20), { Target("t", At(1, 18), 1) });
+  host.List(kTarget, At(2, 10), {});
+  host.Wait(1500ms);
+  host.List(kTarget, At(3, 8), {});
+  Host peer;
+  peer.Change(kTarget, Target("t", At(1, 18), 1));
+  peer.PullFrom(host);
+  host.Wait(2000ms);
+  CHECK(host.Uses("t"));
+  host.Wait(600ms);
+  CHECK_FALSE(host.Uses("t"));
+}
+
+// Guards against requests to a target that has left because a second copy
+// brings its entry back once more.
+TEST_CASE("restored store: a second return does not confirm a target that left")
+{
+  Host host;
+  host.Change(kTarget, Target("t", At(1, 15), 4));
+  host.Change(kTarget, Removal("t", At(1, 20)));
+  host.List(kTarget, At(2, 17), { Target("t", At(2, 15), 4) });
+  CHECK_FALSE(host.Uses("t"));
+  host.Wait(1000ms);
+  host.List(kTarget, At(3, 16), { Target("t", At(3, 15), 4) });
+  CHECK_FALSE(host.Uses("t"));
+}
+
+// Guards against dropping a target in use that one copy lacks and the next one
+// has.
+TEST_CASE("restored store: a target in use that is back stays in use")
+{
+  Host host;
+  host.List(kTarget, At(1, 20), { Target("t", At(1, 18), 1) });
+  host.List(kTarget, At(2, 10), {});
+  host.Wait(1000ms);
+  CHECK(host.Uses("t"));
+  host.List(kTarget, At(3, 19), { Target("t", At(3, 18), 1) });
+  CHECK(host.Uses("t"));
+}
+
+// Guards against requests to a draining target whose removal was in doubt when
+// a copy from before its drain came back.
+TEST_CASE("restored store: a target that drained is not in use when it is back")
+{
+  Host host;
+  host.Change(kTarget, Target("t", At(1, 15), 4));
+  host.Change(kTarget, Target("t", At(1, 20), 5, "draining"));
+  host.List(kTarget, At(2, 10), {});
+  host.List(kTarget, At(3, 17), { Target("t", At(3, 15), 4) });
+  CHECK_FALSE(host.Uses("t"));
+}
