Pass on states that the store has lost to hosts at the same position

Callers would see: a host that listed the copy handles requests by an older configuration, or sends them to a draining target, though its peers hold the later state, until its writer writes it again.

Cause: such a state has an earlier position than the copy's, so no pull within the era contained it; and a pull's response was kept by position, which taking such a state does not advance. Class: a position that does not tell its content.

Change: a pull contains the states of earlier eras, and a kept response is used only while the replica's change count is the same.

--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -172,6 +172,7 @@
   }
   state.position = std::max(state.position, aChanges.position);
   DropOldRemovals(state);
+  changeCount_ += changed ? 1 : 0;
   return changed;
 }
 
@@ -209,7 +210,9 @@
                  aPosition.era < state.position.era ||
                  aPosition < state.removalsDroppedUpTo;
   for (const auto& [name, item] : state.objects) {
-    if (changes.full || item.position > aPosition) {
+    // A state that a copy lacks has an earlier position than the copy's.
+    if (changes.full || item.position > aPosition ||
+        item.position.era < state.position.era) {
       changes.items.push_back(item);
     }
   }
--- a/src/catalog/CatalogReplica.h
+++ b/src/catalog/CatalogReplica.h
@@ -5,6 +5,7 @@
 #include "catalog/CatalogKind.h"
 
 #include <array>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -30,6 +31,12 @@
    */
   StorePosition PositionOf(CatalogKind aKind) const;
 
+  /**
+   * Counts the changes of objects, which need not advance a position: a peer
+   * may hold a state that the store has lost.
+   */
+  std::uint64_t ChangeCount() const { return changeCount_; }
+
   /** The objects that exist, by name. */
   const Objects& ObjectsOf(CatalogKind aKind) const;
 
@@ -38,7 +45,8 @@
                                         const std::string& aName) const;
 
   /**
-   * Returns the changes after aPosition; all objects and all unconfirmed
+   * Returns the changes after aPosition and the states of earlier eras that are
+   * still in force; all objects and all unconfirmed
    * removals if aPosition is zero, of an earlier era, or older than a removal
    * that is no longer stored.
    */
@@ -66,6 +74,7 @@
                          std::size_t aLimit);
 
   std::array<KindState, kCatalogKinds.size()> states_;
+  std::uint64_t changeCount_ = 0;
 };
 
 } // namespace lacewing
--- a/src/fleet/CatalogPuller.cpp
+++ b/src/fleet/CatalogPuller.cpp
@@ -73,6 +73,8 @@
   std::string cachedBody;
   std::vector<StorePosition> cachedAfter;
   std::vector<StorePosition> cachedAt;
+  /** The replica's change count at that time. */
+  std::uint64_t cachedCount = 0;
 
   void OnResponse(const ExchangeResult& aResult)
   {
@@ -101,7 +103,7 @@
                              const Clock& aClock,
                              Handler aHandler)
   : impl_(
-      new Impl{ aContext, aClock, std::move(aHandler), nullptr, {}, {}, {} })
+      new Impl{ aContext, aClock, std::move(aHandler), nullptr, {}, {}, {}, 0 })
 {
 }
 
@@ -153,7 +155,8 @@
   for (const CatalogKind kind : kCatalogKinds) {
     reached.push_back(aReplica.PositionOf(kind));
   }
-  if (impl_->cachedAfter != *known || impl_->cachedAt != reached) {
+  if (impl_->cachedAfter != *known || impl_->cachedAt != reached ||
+      impl_->cachedCount != aReplica.ChangeCount()) {
     CatalogPullResponse pull;
     for (const CatalogKind kind : kCatalogKinds) {
       pull.parts.push_back(aReplica.Since(kind, (*known)[IndexOf(kind)]));
@@ -161,6 +164,7 @@
     impl_->cachedBody = EncodePullResponse(pull);
     impl_->cachedAfter = *known;
     impl_->cachedAt = std::move(reached);
+    impl_->cachedCount = aReplica.ChangeCount();
   }
   response.head.status = 200;
   response.head.fields.Add("Content-Type", "application/octet-stream");
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -1,9 +1,12 @@
 #include "catalog/CatalogReplica.h"
 #include "core/ManualClock.h"
+#include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
+#include "fleet/PeerCodec.h"
 #include "platform/ObjectDecoder.h"
 #include "support/CheckProperty.h"
 
+#include <asio/io_context.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -370,3 +373,42 @@
   host.List(kTarget, At(3, 17), { Target("t", At(3, 15), 4) });
   CHECK_FALSE(host.Uses("t"));
 }
+
+// Guards against hosts that reached the same position of the new era with
+// different states, one of them with a state that the store has lost.
+TEST_CASE("restored store: a state that the copy lacks reaches hosts that listed")
+{
+  Host host;
+  host.Change(kConfig, Configuration(At(1, 20), 7));
+  host.List(kConfig, At(2, 10), { Configuration(At(2, 9), 5) });
+  host.Change(kTarget, Target("t", At(1, 15), 4));
+  host.Change(kTarget, Target("t", At(1, 20), 5, "draining"));
+  host.List(kTarget, At(2, 17), { Target("t", At(2, 15), 4) });
+  Host started;
+  started.List(kConfig, At(2, 10), { Configuration(At(2, 9), 5) });
+  started.List(kTarget, At(2, 17), { Target("t", At(2, 15), 4) });
+  started.PullFrom(host);
+  CHECK(started.Version() == 7);
+  CHECK_FALSE(started.Uses("t"));
+}
+
+// Guards against a host that passes on a response from before it took a state
+// from a peer, which does not advance its position.
+TEST_CASE("restored store: a pull's response is not older than its objects")
+{
+  asio::io_context context;
+  Host host;
+  host.List(kConfig, At(2, 10), { Configuration(At(2, 9), 5) });
+  CatalogPuller puller(context, host.clock, [](const auto&) {});
+  HttpMessage request;
+  request.head.target = std::string(CatalogPuller::Path()) +
+                        "?after=0.0,0.0,0.0";
+  const auto versionPulled = [&] {
+    const auto pull =
+      DecodePullResponse(puller.HandleRequest(request, host.replica).body);
+    return pull.value().parts[IndexOf(kConfig)].items.at(0).writer.count;
+  };
+  CHECK(versionPulled() == WriteCount(5));
+  host.Apply(kConfig, { true, At(2, 10), { Configuration(At(1, 20), 7) } });
+  CHECK(versionPulled() == WriteCount(7));
+}
