--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -412,3 +412,17 @@
   host.Apply(kConfig, { true, At(2, 10), { Configuration(At(1, 20), 7) } });
   CHECK(versionPulled() == WriteCount(7));
 }
+
+// Guards against a target that a host keeps for good because the peer that it
+// pulls from started after the return and has no removal of it.
+TEST_CASE("restored store: a peer that started later tells what the copy lacks")
+{
+  Host host;
+  host.List(kTarget, At(1, 20), { Target("lost", At(1, 19), 1) });
+  Host started;
+  started.List(kTarget, At(2, 10), {});
+  host.PullFrom(started);
+  CHECK(host.Uses("lost"));
+  host.Wait(2600ms);
+  CHECK_FALSE(host.Uses("lost"));
+}
