Let a host's registrations and lists in the store wait for each other

On call would see: a host without peers that never finds others, since the store came back from a copy while it listed them.

Cause: the source takes one call at a time, but the registration after a return did not look whether a list was running, and dropped its answer. A registration that was answered after the return was not repeated, and each later era repeated an old search.

Change: HostDirectory keeps what is due and starts the next call when the one in progress has ended.

--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -141,10 +141,11 @@
   if (removals.size() <= aLimit) {
     return;
   }
-  std::sort(
-    removals.begin(), removals.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft->second.position < aRight->second.position;
-    });
+  std::sort(removals.begin(),
+            removals.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft->second.position < aRight->second.position;
+            });
   removals.resize(removals.size() - aLimit);
   for (const Objects::iterator& oldest : removals) {
     aState.removalsDroppedUpTo =
--- a/src/fleet/CatalogView.cpp
+++ b/src/fleet/CatalogView.cpp
@@ -55,11 +55,10 @@
                        return passed(aTarget.second.usableFrom) ||
                               missingPassed(aTarget.second.missing);
                      }) ||
-         std::any_of(zonesOut_.begin(),
-                     zonesOut_.end(),
-                     [&](const auto& aZone) {
-                       return missingPassed(aZone.second);
-                     });
+         std::any_of(
+           zonesOut_.begin(), zonesOut_.end(), [&](const auto& aZone) {
+             return missingPassed(aZone.second);
+           });
 }
 
 bool CatalogView::Keeps(const CatalogReplica& aReplica,
@@ -174,9 +173,8 @@
       continue;
     }
     // A target in use whose removal was not confirmed stays in use.
-    const bool inUse =
-      target.readable && !target.spec.draining &&
-      (!target.usableFrom || *target.usableFrom <= updatedAt_);
+    const bool inUse = target.readable && !target.spec.draining &&
+                       (!target.usableFrom || *target.usableFrom <= updatedAt_);
     target.position = item.position;
     if (!item.unconfirmed) {
       target.usableFrom.reset();
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -21,7 +21,10 @@
   OneShotTimer timer;
   bool registered = false;
   bool registrationStarted = false;
-  bool listRequested = false;
+  bool registrationDue = false;
+  bool listDue = false;
+  /** A call to the store is running; the source takes one at a time. */
+  bool calling = false;
 
   Impl(asio::io_context& aContext,
        const HostIdentity& aIdentity,
@@ -34,9 +37,24 @@
   {
   }
 
+  /** Starts the call that is due next, unless one is running. */
+  void Continue()
+  {
+    if (calling) {
+      return;
+    }
+    if (registrationDue) {
+      Register();
+    } else if (listDue && registered) {
+      List();
+    }
+  }
+
   void Register()
   {
     registrationStarted = true;
+    registrationDue = false;
+    calling = true;
     source.RegisterHost(identity.self,
                         [self = weak_from_this()](const Outcome<void>& aDone) {
                           if (const auto impl = self.lock()) {
@@ -47,18 +65,19 @@
 
   void OnRegistered(const Outcome<void>& aDone)
   {
+    calling = false;
     if (!aDone) {
-      RetryLater(aDone.error(), &Impl::Register);
+      registrationDue = true;
+      RetryLater(aDone.error());
       return;
     }
     registered = true;
-    if (listRequested) {
-      List();
-    }
+    Continue();
   }
 
   void List()
   {
+    calling = true;
     source.ListHosts([self = weak_from_this()](
                        const Outcome<std::vector<PeerAddress>>& aHosts) {
       if (const auto impl = self.lock()) {
@@ -69,24 +88,27 @@
 
   void OnListed(const Outcome<std::vector<PeerAddress>>& aHosts)
   {
+    calling = false;
     if (!aHosts) {
-      RetryLater(aHosts.error(), &Impl::List);
+      RetryLater(aHosts.error());
       return;
     }
+    listDue = false;
     const std::vector<PeerAddress>& hosts = aHosts.value();
     Log(LogLevel::kInfo,
         "list-hosts",
         { { "hosts", std::to_string(hosts.size()) } });
     handler(hosts);
+    Continue();
   }
 
-  void RetryLater(const Error& aError, void (Impl::*aStep)())
+  void RetryLater(const Error& aError)
   {
     Log(
       LogLevel::kWarning, "host-directory", { { "error", aError.ToString() } });
-    timer.Arm(kRetryDelay, [self = weak_from_this(), aStep] {
+    timer.Arm(kRetryDelay, [self = weak_from_this()] {
       if (const auto impl = self.lock()) {
-        ((*impl).*aStep)();
+        impl->Continue();
       }
     });
   }
@@ -105,25 +127,24 @@
 
 void HostDirectory::Find()
 {
-  impl_->listRequested = true;
-  if (impl_->registered) {
-    impl_->List();
-  } else {
-    RegisterSelf();
-  }
+  impl_->listDue = true;
+  RegisterSelf();
+  impl_->Continue();
 }
 
 void HostDirectory::RegisterSelf()
 {
   if (!impl_->registrationStarted) {
-    impl_->Register();
+    impl_->registrationDue = true;
+    impl_->Continue();
   }
 }
 
 void HostDirectory::RegisterAgain()
 {
-  if (impl_->registered) {
-    impl_->Register();
+  if (impl_->registrationStarted) {
+    impl_->registrationDue = true;
+    impl_->Continue();
   }
 }
 
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -39,8 +39,8 @@
   void RegisterSelf();
 
   /**
-   * Registers this host once more if it was registered, since the store may
-   * have lost its object.
+   * Registers this host once more if a registration was started before, since
+   * the store may have lost its object.
    */
   void RegisterAgain();
 
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -284,7 +284,8 @@
 
 // Guards against dropping targets at once because a copy lacks more of them
 // than removals are stored.
-TEST_CASE("restored store: many targets that the copy lacks have time to return")
+TEST_CASE(
+  "restored store: many targets that the copy lacks have time to return")
 {
   Host host;
   std::vector<CatalogItem> targets;
@@ -376,7 +377,8 @@
 
 // Guards against hosts that reached the same position of the new era with
 // different states, one of them with a state that the store has lost.
-TEST_CASE("restored store: a state that the copy lacks reaches hosts that listed")
+TEST_CASE(
+  "restored store: a state that the copy lacks reaches hosts that listed")
 {
   Host host;
   host.Change(kConfig, Configuration(At(1, 20), 7));
@@ -401,8 +403,8 @@
   host.List(kConfig, At(2, 10), { Configuration(At(2, 9), 5) });
   CatalogPuller puller(context, host.clock, [](const auto&) {});
   HttpMessage request;
-  request.head.target = std::string(CatalogPuller::Path()) +
-                        "?after=0.0,0.0,0.0";
+  request.head.target =
+    std::string(CatalogPuller::Path()) + "?after=0.0,0.0,0.0";
   const auto versionPulled = [&] {
     const auto pull =
       DecodePullResponse(puller.HandleRequest(request, host.replica).body);
