Decode each object of a store response on its own

On call would see: one odd entry among those of the servers, such as one with the number 1e999, and all hosts stop following the servers: "the store's response has no valid revision", again and again.

Cause: a response was parsed as one value, so that a part which no parser takes hid all others.

Change: JsonSplit tells the parts of a response apart by structure; each object is parsed on its own, and its spec is passed on as the store wrote it instead of being written anew.

--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -1,3 +1,5 @@
+#include "core/JsonDepth.h"
+#include "core/JsonSplit.h"
 #include "platform/BootSettings.h"
 #include "platform/JsonFields.h"
 #include "platform/ObjectDecoder.h"
@@ -24,10 +26,34 @@
          aSpec + "}";
 }
 
+std::string Server(const std::string& aSlots,
+                   const std::string& aPort = "8080",
+                   const std::string& aService = R"("s")")
+{
+  return R"({"service":)" + aService + R"(,"address":"10.0.0.9:)" + aPort +
+         R"(","zone":"z","slots":)" + aSlots +
+         R"(,"state":"ready","sequence":4,"born":5})";
+}
+
+/** Entries that another writer may leave among those of the servers. */
+const std::string kOddSpecs[] = {
+  Nested(40000),
+  Nested(500000),
+  Server("3", "8080", Nested(500000)),
+  Server("1e999"),
+  Server("-1e999"),
+  "1e999",
+  "tru",
+  R"("text")",
+  "\"\xff\xfe\"",
+  "",
+};
+
 std::string ListWith(const std::string& aOdd)
 {
-  return R"({"items":[)" + Entry("a", "{}") + "," + Entry("odd", aOdd) + "," +
-         Entry("b", "{}") + R"(],"more":false,"store_revision":9})";
+  return R"({"items":[)" + Entry("a", Server("3")) + "," + Entry("odd", aOdd) +
+         "," + Entry("b", Server("3")) +
+         R"(],"more":false,"store_revision":9})";
 }
 
 std::string EventsWith(const std::string& aOdd)
@@ -35,11 +61,22 @@
   const auto event = [](const std::string& aObject) {
     return R"({"removed":false,"object":)" + aObject + "}";
   };
-  return R"({"events":[)" + event(Entry("a", "{}")) + "," +
-         event(Entry("odd", aOdd)) + "," + event(Entry("b", "{}")) +
+  return R"({"events":[)" + event(Entry("a", Server("3"))) + "," +
+         event(Entry("odd", aOdd)) + "," + event(Entry("b", Server("3"))) +
          R"(],"store_revision":9})";
 }
 
+/** Whether the items name targets a and b, and no target for the odd entry. */
+bool NamesOnlyGoodTargets(const std::vector<CatalogItem>& aItems)
+{
+  const ObjectDecoder decoder;
+  std::string usable;
+  for (const CatalogItem& item : aItems) {
+    usable += decoder.DecodeTarget(item.name, item.body) ? item.name : "";
+  }
+  return usable == "ab";
+}
+
 } // namespace
 
 // Guards against a process that ends because a value is nested so deeply that
@@ -60,10 +97,63 @@
   CHECK_FALSE(ReadHostObject(host));
 }
 
-// Guards against an odd entry of a list or of a watch that ends the process.
-TEST_CASE("odd entry: the process outlives a list with a nested entry")
+// Guards against an entry that makes hosts refuse the whole list, or the whole
+// batch of changes, and so stop following the servers.
+TEST_CASE("odd entry: the other entries of a list and of a watch hold")
+{
+  for (const std::string& odd : kOddSpecs) {
+    CAPTURE(odd.substr(0, 40));
+    const auto page = ReadList(ListWith(odd), StoreEra(1), {});
+    REQUIRE(page);
+    CHECK(page.value().changes.position.revision == Revision(9));
+    CHECK_FALSE(page.value().more);
+    const auto changes = ReadEvents(EventsWith(odd), StoreEra(1), {});
+    REQUIRE(changes);
+    CHECK(NamesOnlyGoodTargets(page.value().changes.items));
+    CHECK(NamesOnlyGoodTargets(changes.value().items));
+  }
+}
+
+// Guards against an odd entry that leaves the server's earlier entry in use.
+TEST_CASE("odd entry: it replaces the earlier entry of its name")
+{
+  const auto changes = ReadEvents(EventsWith(Server("1e999")), StoreEra(1), {});
+  REQUIRE(changes);
+  REQUIRE(changes.value().items.size() == 3);
+  CHECK(changes.value().items[2].name == "odd");
+  CHECK_FALSE(
+    ObjectDecoder().DecodeTarget("odd", changes.value().items[2].body));
+}
+
+// Guards against parts that are cut at a bracket, a comma or a quote inside a
+// string.
+TEST_CASE("json split: parts are told apart by structure")
 {
-  const std::string odd = Nested(500000);
-  (void)ReadList(ListWith(odd), StoreEra(1), {});
-  (void)ReadEvents(EventsWith(odd), StoreEra(1), {});
+  const auto members =
+    SplitJsonObject(R"( {"a" : [1,{"x":"]}"}] , "b":"q\"\\", "a":-2.5e3} )");
+  REQUIRE(members);
+  REQUIRE(members->size() == 3);
+  CHECK((*members)[0].value == R"([1,{"x":"]}"}])");
+  CHECK((*members)[1].value == R"("q\"\\")");
+  CHECK(JsonMemberOf(*members, "a") == "-2.5e3");
+  CHECK(JsonMemberOf(*members, "c").empty());
+  CHECK(SplitJsonArray("[]")->empty());
+  CHECK(SplitJsonArray(R"(["a,b", [], {}, null])")->size() == 4);
+  for (const char* text : { "",
+                            "{",
+                            "[1,]",
+                            "[1",
+                            "[1]]",
+                            "{\"a\"}",
+                            "{\"a\":}",
+                            "{\"a\":1,}",
+                            "[\"a]",
+                            "[\"a\\",
+                            "]",
+                            "1" }) {
+    CAPTURE(text);
+    CHECK_FALSE(SplitJsonArray(text));
+    CHECK_FALSE(SplitJsonObject(text));
+  }
+  CHECK(JsonDepth(R"([{"a":"[[["},[[]]])") == 3);
 }
