--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -125,6 +125,35 @@
     ObjectDecoder().DecodeTarget("odd", changes.value().items[2].body));
 }
 
+// Guards against a count that is cut to 32 bits, such as 4294967296 slots that
+// became none.
+TEST_CASE("odd entry: counts and ports out of range name no target")
+{
+  const ObjectDecoder decoder;
+  CHECK(decoder.DecodeTarget("t", Server("4294967295")));
+  for (const char* slots : { "0",
+                             "-1",
+                             "4294967296",
+                             "18446744073709551616",
+                             "100000000000000000000000000000",
+                             "3.5",
+                             "1e3" }) {
+    CAPTURE(slots);
+    CHECK_FALSE(decoder.DecodeTarget("t", Server(slots)));
+  }
+  for (const char* port : { "0", "65536", "99999", "-1", "", "80x" }) {
+    CAPTURE(port);
+    CHECK_FALSE(decoder.DecodeTarget("t", Server("3", port)));
+  }
+  const auto table = decoder.DecodeConfiguration(
+    R"({"version":1,"routes":[{"host":"h","path_prefix":"/","service":"s",
+       "max_attempts":4294967296,"priority":4294967296}]})");
+  REQUIRE(table);
+  const RouteSpec* route = table.value()->Find("h", "/");
+  CHECK(route->maxAttempts == 1);
+  CHECK(route->priority == Priority(4294967295));
+}
+
 // Guards against parts that are cut at a bracket, a comma or a quote inside a
 // string.
 TEST_CASE("json split: parts are told apart by structure")
