Bound the cold time that a target states

On call would see: hosts of a zone declare one of them dead, then the next that takes over its targets, while all of them run; refused heartbeats (lacewing_beats_refused_total) rise.

Cause: a cold time below zero, or of more than 20 years, was passed on in the heartbeats of the host that probes the target, and peers refuse a heartbeat with such a time as a whole. One of more than 292 years overflowed, and one of more than 64 bits became zero, which lets a cold target be flooded.

The other tests of the file show what cannot happen: odd times, limits and versions of a configuration, and odd lengths of an answer, are refused or stay in range already.

--- a/src/gateway/ProbeReading.cpp
+++ b/src/gateway/ProbeReading.cpp
@@ -1,5 +1,6 @@
 #include "gateway/ProbeReading.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace lacewing {
@@ -9,14 +10,23 @@
 constexpr unsigned kHealthy = 200;
 constexpr unsigned kFirstFailure = 400;
 
+// A longer time would overflow a Duration. Peers refuse a heartbeat with a
+// negative time or one of many years.
+constexpr std::chrono::milliseconds kMaxColdLeft = std::chrono::hours(24);
+
 Duration ReadColdLeft(const std::string* aField)
 {
   std::int64_t milliseconds = 0;
-  if (aField != nullptr) {
-    std::from_chars(
-      aField->data(), aField->data() + aField->size(), milliseconds);
+  if (aField == nullptr) {
+    return Duration(0);
+  }
+  const auto [end, error] = std::from_chars(
+    aField->data(), aField->data() + aField->size(), milliseconds);
+  if (error == std::errc::result_out_of_range) {
+    milliseconds = aField->front() == '-' ? 0 : kMaxColdLeft.count();
   }
-  return std::chrono::milliseconds(milliseconds);
+  return std::chrono::milliseconds(
+    std::clamp<std::int64_t>(milliseconds, 0, kMaxColdLeft.count()));
 }
 
 } // namespace
--- /dev/null
+++ b/tests/OddNumberTest.cpp
@@ -0,0 +1,131 @@
+#include "balance/ColdQuota.h"
+#include "balance/SplitCursor.h"
+#include "balance/TargetChooser.h"
+#include "balance/TargetObservations.h"
+#include "fleet/PeerCodec.h"
+#include "gateway/ProbeReading.h"
+#include "http/MessageParser.h"
+#include "platform/BootSettings.h"
+#include "platform/ObjectDecoder.h"
+#include "platform/PlatformNames.h"
+#include "platform/ServerLoad.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+using namespace lacewing;
+using namespace lacewing::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{ 1h };
+
+/** What a probe reads that was answered with this cold time. */
+LoadReading ReadingWith(const std::string& aColdLeft)
+{
+  const HeaderNames names = PlatformHeaders();
+  ExchangeResult result;
+  result.end = ExchangeEnd::kAnswered;
+  result.answer.head.status = 200;
+  result.answer.head.fields.Add(names.coldLeft, aColdLeft);
+  return ReadProbe(result, names, TargetId("t"), kNow);
+}
+
+} // namespace
+
+// Guards against a target's cold time that makes peers refuse the heartbeats of
+// the host that probes it, or that becomes another time by overflow.
+TEST_CASE("odd number: a cold time out of range does not silence its host")
+{
+  const std::pair<const char*, bool> cases[] = {
+    { "1500", true },
+    { "1500.5", true },
+    { "0", false },
+    { "-1", false },
+    { "-9223372036854775808", false },
+    { "9223372036854775807", true },
+    { "700000000000", true },
+    { "100000000000000000000000000000", true },
+    { "-100000000000000000000000000000", false },
+    { "1e3", true },
+    { "x", false },
+    { "", false },
+  };
+  for (const auto& [text, cold] : cases) {
+    CAPTURE(text);
+    const LoadReading reading = ReadingWith(text);
+    CHECK(reading.state == ReadingState::kServing);
+    CHECK((reading.coldLeft > Duration(0)) == cold);
+    PeerHeartbeat heartbeat;
+    heartbeat.readings = { WireReading::From(reading, kNow) };
+    CHECK(DecodeHeartbeat(EncodeHeartbeat(heartbeat)));
+  }
+}
+
+// Guards against limits and times that overflow, and against a version or a
+// count of routes that ends the process.
+TEST_CASE("odd number: a configuration's odd times and limits stay in range")
+{
+  const ObjectDecoder decoder;
+  const std::string route =
+    R"({"name":"r","host":"h","path_prefix":"/","service":"s","timeout_s":)";
+  const std::pair<const char*, Duration> times[] = {
+    { "0", 0s },        { "1e18", 24h },         { "1e308", 24h },
+    { "\"1\"", 1000s }, { "-1", 1000s },         { "1e-300", 0s },
+    { "null", 1000s },  { "9223372036.9", 24h },
+  };
+  const Duration standard = RouteSpec().timeout;
+  for (const auto& [text, expected] : times) {
+    CAPTURE(text);
+    const auto table = decoder.DecodeConfiguration(
+      R"({"version":18446744073709551615,"limits":{"idle_timeout_s":)" +
+      std::string(text) + R"(,"max_header_bytes":9223372036854775808,
+      "max_body_bytes":1e30},"routes":[)" +
+      route + text + "}]}");
+    REQUIRE(table);
+    const Duration timeout = table.value()->Find("h", "/")->timeout;
+    CHECK(timeout == (expected == 1000s ? standard : expected));
+    CHECK(table.value()->Limits().maxBody == CallerLimits().maxBody);
+  }
+  std::string many = route + "1}";
+  for (int i = 0; i < 5000; ++i) {
+    many += "," + route + "2}";
+  }
+  const auto table =
+    decoder.DecodeConfiguration(R"({"version":1,"routes":[)" + many + "]}");
+  REQUIRE(table);
+  CHECK(table.value()->Find("h", "/")->timeout == 1s);
+  for (const char* odd : { "18446744073709551616", "-1", "1.5", "\"1\"" }) {
+    CAPTURE(odd);
+    CHECK_FALSE(
+      decoder.DecodeConfiguration(R"({"version":)" + std::string(odd) + "}"));
+  }
+}
+
+// Guards against a length that is cut or overflows, so that a response's body
+// ends early or never.
+TEST_CASE("odd number: an answer's odd length is refused")
+{
+  ParserLimits limits;
+  limits.maxBody = ByteCount(1000);
+  for (const char* length : { "1001",
+                              "-1",
+                              "1.5",
+                              "1e3",
+                              "4294967296",
+                              "18446744073709551615",
+                              "18446744073709551616",
+                              "100000000000000000000000000000",
+                              "4\r\nContent-Length: 5",
+                              "4, 4",
+                              "x" }) {
+    CAPTURE(length);
+    MessageParser parser(MessageSide::kAnswer, limits);
+    parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) +
+                "\r\n\r\nbody");
+    CHECK(parser.Failure() != ParseFailure::kNone);
+  }
+}
