--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -49,6 +49,9 @@
 // so that hosts with the same readings do not all choose the same target.
 constexpr double kTieMargin = 0.12;
 
+// Keeps the expected time of an odd load within a Duration.
+constexpr double kMaxExpectedSeconds = 1e6;
+
 double Seconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -136,8 +139,9 @@
   penalty += (unreported ? kUnreportedOccupancyPrice : kOccupancyPrice) * work *
              std::min(1.0, busy / slots);
   const double speed = warm ? 1 : kColdFactor;
-  choice.expected = std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(work * factor * speed + penalty));
+  choice.expected =
+    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      std::min(work * factor * speed + penalty, kMaxExpectedSeconds)));
   return choice;
 }
 
--- a/tests/OddNumberTest.cpp
+++ b/tests/OddNumberTest.cpp
@@ -34,6 +34,24 @@
   return ReadProbe(result, names, TargetId("t"), kNow);
 }
 
+/** The expected response time of a target of three slots with this load. */
+Duration ExpectedWith(const TargetLoad& aLoad, Duration aServiceTime)
+{
+  FleetTarget target;
+  target.spec.slots = SlotCount(3);
+  TargetObservations local;
+  LoadReading reading;
+  reading.state = ReadingState::kServing;
+  reading.load = aLoad;
+  reading.measuredAt = reading.probedAt = kNow;
+  ChoiceContext context;
+  context.now = kNow;
+  context.usualServiceTime = aServiceTime;
+  return MakeEarliestResponseChooser(1)
+    ->Judge(context, { &target, &reading, &local, false })
+    .expected;
+}
+
 } // namespace
 
 // Guards against a target's cold time that makes peers refuse the heartbeats of
@@ -65,6 +83,27 @@
   }
 }
 
+// Guards against a load so high that its sum or the time computed from it
+// overflows, which ranks the fullest target first.
+TEST_CASE("odd number: a target with an odd load is not taken for an idle one")
+{
+  for (const char* text : { "4294967295,1,3",
+                            "4294967295,4294967295,3,100",
+                            "3000000000,0,3,4294967295",
+                            "4294967296,0,3",
+                            "100000000000000000000000000000,0,3,400" }) {
+    CAPTURE(text);
+    const auto load = ParseServerLoad(text);
+    REQUIRE(load);
+    CHECK(ExpectedWith(*load, 500ms) > ExpectedWith({ 3, 4, 3, 100 }, 500ms));
+    CHECK(ExpectedWith(*load, 24h) > ExpectedWith({ 0, 0, 3, 100 }, 500ms));
+  }
+  for (const char* text : { "-1,0,3", "1e400,0,", ",,", "0x1,0", "3,-4,8" }) {
+    CAPTURE(text);
+    CHECK_FALSE(ParseServerLoad(text));
+  }
+}
+
 // Guards against limits and times that overflow, and against a version or a
 // count of routes that ends the process.
 TEST_CASE("odd number: a configuration's odd times and limits stay in range")
