Keep limits beyond their type from becoming zero

On call would see, on x86: a cold target that gets no requests, or hosts that refuse all bodies.

Cause: a floating point number that does not fit its integer type was converted, which C++ leaves undefined; arm64 gives the largest value, x86 may give zero.

Measured: the test passes before and after on this machine (arm64, and g++'s undefined sanitizer leaves these conversions out).

--- a/src/balance/ColdQuota.cpp
+++ b/src/balance/ColdQuota.cpp
@@ -11,9 +11,13 @@
 {
   // The present owner and the previous one.
   constexpr double kPossibleOwners = 2;
+  // More would not fit the result.
+  constexpr double kMaxQuota = 1e9;
   const double limit = aWarmUpRate * aLimits.overshoot + aLimits.slack;
   const double share = limit / (kPossibleOwners + aUnresponsiveHosts);
-  return static_cast<unsigned>(std::floor(std::max(share, 0.0)));
+  // In this order, a share that is no number gives none.
+  return static_cast<unsigned>(
+    std::floor(std::min(std::max(0.0, share), kMaxQuota)));
 }
 
 } // namespace lacewing
--- a/tests/OddNumberTest.cpp
+++ b/tests/OddNumberTest.cpp
@@ -104,6 +104,29 @@
   }
 }
 
+// Guards against a limit that becomes zero because it does not fit its type.
+TEST_CASE("odd number: limits beyond their type are large, not zero")
+{
+  ColdStartLimits terms;
+  terms.overshoot = 1.5;
+  CHECK(ColdQuota(terms, 1e300, 0) > 1000);
+  CHECK(ColdQuota(terms, -1e300, 0) == 0);
+  terms.overshoot = 1e308;
+  CHECK(ColdQuota(terms, 1e308, 0) > 1000);
+  terms.slack = -1e308;
+  CHECK(ColdQuota(terms, 1e308, 0) > 1000);
+  const std::string text =
+    R"({"node":"h","ip":"10.1.0.1","zone":"z","internal_ports":[7720],
+     "listen":{"front":"10.1.0.1:8161","ready":"10.1.0.1:8167"},
+     "platform":{"address":"10.2.0.1:8169"},"limits":{"memory_mb":)";
+  for (const char* megabytes : { "1e14", "1e30", "1e308" }) {
+    CAPTURE(megabytes);
+    const auto settings = BootSettings::Parse(text + megabytes + "}}");
+    REQUIRE(settings);
+    CHECK(settings.value().host.gateway.maxBuffered > ByteCount(1U << 30U));
+  }
+}
+
 // Guards against limits and times that overflow, and against a version or a
 // count of routes that ends the process.
 TEST_CASE("odd number: a configuration's odd times and limits stay in range")
