Keep very large weights from breaking a split

On call would see: one service of a split gets all requests.

Cause: the sum of the weights became infinite, after which all credits were minus infinity and the first service always won.

--- a/tests/OddNumberTest.cpp
+++ b/tests/OddNumberTest.cpp
@@ -127,6 +127,24 @@
   }
 }
 
+// Guards against weights whose sum overflows, so that one service gets all
+// requests.
+TEST_CASE("odd number: a split with very large weights uses all its services")
+{
+  const auto table = ObjectDecoder().DecodeConfiguration(
+    R"({"version":1,"routes":[{"host":"h","path_prefix":"/","traffic_split":[
+       {"service":"a","weight":-1e308},{"service":"b","weight":1.7e308},
+       {"service":"c","weight":1.7e308},{"service":"d","weight":"2"}]}]})");
+  REQUIRE(table);
+  SplitCursor cursor;
+  std::multiset<std::string> chosen;
+  for (int i = 0; i < 100; ++i) {
+    chosen.insert(cursor.Next(table.value()->Find("h", "/")->shares).value());
+  }
+  CHECK(chosen.count("b") == 50);
+  CHECK(chosen.count("c") == 50);
+}
+
 // Guards against limits and times that overflow, and against a version or a
 // count of routes that ends the process.
 TEST_CASE("odd number: a configuration's odd times and limits stay in range")
