--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -1,5 +1,7 @@
+#include "catalog/CatalogReplica.h"
 #include "core/JsonDepth.h"
 #include "core/JsonSplit.h"
+#include "fleet/PeerCodec.h"
 #include "platform/BootSettings.h"
 #include "platform/JsonFields.h"
 #include "platform/ObjectDecoder.h"
@@ -7,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace lacewing;
@@ -186,3 +189,21 @@
   }
   CHECK(JsonDepth(R"([{"a":"[[["},[[]]])") == 3);
 }
+
+// Guards against metadata that hide a change or a removal of their object.
+TEST_CASE("odd entry: odd metadata do not hide the object's name")
+{
+  for (const std::string& odd :
+       { Nested(500000), std::string("1e999"), std::string("\"\xff\"") }) {
+    CAPTURE(odd.substr(0, 40));
+    const auto changes = ReadEvents(
+      R"({"events":[{"removed":true,"object":{"metadata":{"finalizers":)" +
+        odd + R"(,"name":"a","revision":4}}}],"store_revision":9})",
+      StoreEra(1),
+      {});
+    REQUIRE(changes);
+    REQUIRE(changes.value().items.size() == 1);
+    CHECK(changes.value().items[0].name == "a");
+    CHECK(changes.value().items[0].removed);
+  }
+}
