--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -207,3 +207,22 @@
     CHECK(changes.value().items[0].removed);
   }
 }
+
+// Guards against names that break a request's head, or make the heartbeats that
+// carry them too large for a datagram.
+TEST_CASE("odd entry: a name that no header can carry names no target")
+{
+  const ObjectDecoder decoder;
+  CHECK(decoder.DecodeTarget(std::string(256, 'i'), Server("3")));
+  for (const std::string& name : { std::string(),
+                                   std::string(257, 'i'),
+                                   std::string(60000, 'i'),
+                                   std::string("a\r\nX: y"),
+                                   std::string("a b"),
+                                   std::string("a\0b", 3),
+                                   std::string("\xff"),
+                                   std::string("\x7f") }) {
+    CAPTURE(name.substr(0, 40));
+    CHECK_FALSE(decoder.DecodeTarget(name, Server("3")));
+  }
+}
