Keep large entries from making the catalog too large to pull

On call would see: hosts that start or were cut off log "the response cannot be decoded" and get no catalog from their peers.

Cause: entries may have 1 MB each, and a pull takes 8 MB as a whole.

Change: a replica drops the body of a target's or a zone's entry beyond 4,096 bytes, so that it names no target; a server's entry has about 250. 6,000 targets of which 20 are large pass.

--- a/src/catalog/CatalogReplica.cpp
+++ b/src/catalog/CatalogReplica.cpp
@@ -18,11 +18,18 @@
 // A copy of the store may lack most targets of a large site. Dropping one of
 // these removals would take the target out of use before it can write again.
 constexpr std::size_t kMaxUnconfirmedRemovals = 16384;
+// The entries of targets have about 250 bytes. Larger ones, up to the store's
+// 1 MB, would make the catalog too large for the peers that pull it.
+constexpr std::size_t kMaxBody = 4096;
 
 } // namespace
 
 bool CatalogReplica::Put(CatalogKind aKind, CatalogItem aItem)
 {
+  if (aKind != CatalogKind::kConfiguration && aItem.body.size() > kMaxBody) {
+    // Replaces an earlier entry of its name and names no target.
+    aItem.body.clear();
+  }
   KindState& state = states_[IndexOf(aKind)];
   const auto removal = state.removed.find(aItem.name);
   if (removal != state.removed.end()) {
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -226,3 +226,30 @@
     CHECK_FALSE(decoder.DecodeTarget(name, Server("3")));
   }
 }
+
+// Guards against a catalog that outgrows what peers accept, so that hosts
+// cannot get it from each other.
+TEST_CASE("odd entry: large entries do not keep peers from the others")
+{
+  CatalogReplica replica;
+  CatalogChanges list;
+  list.position = { StoreEra(1), Revision(9) };
+  list.full = true;
+  for (int i = 0; i < 6000; ++i) {
+    CatalogItem item;
+    item.name = "i-" + std::to_string(i);
+    item.position = list.position;
+    item.body = i % 300 == 0 ? std::string(900000, 'x') : Server("3");
+    list.items.push_back(std::move(item));
+  }
+  replica.Apply(CatalogKind::kTarget, list);
+  CatalogPullResponse pull;
+  pull.parts.push_back(replica.Since(CatalogKind::kTarget, {}));
+  const auto received = DecodePullResponse(EncodePullResponse(pull));
+  REQUIRE(received);
+  const auto& items = received.value().parts[0].items;
+  CHECK(items.size() == 6000);
+  CHECK(std::count_if(items.begin(), items.end(), [](const auto& aItem) {
+          return ObjectDecoder().DecodeTarget(aItem.name, aItem.body);
+        }) == 5980);
+}
