Refuse hosts' objects without a valid address

Class: a number or an address that is taken although it cannot be used.

Cause: port 0 and texts that are no address were taken, and heartbeats were prepared for such a host for 15 s.

--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -253,3 +253,25 @@
           return ObjectDecoder().DecodeTarget(aItem.name, aItem.body);
         }) == 5980);
 }
+
+// Guards against hosts' objects that lead datagrams to a cut port.
+TEST_CASE("odd entry: a host's object without a valid address names no host")
+{
+  const auto host = [](const std::string& aAddress, const std::string& aPort) {
+    CatalogItem item;
+    item.name = "h";
+    item.body =
+      R"({"zone":"z","address":")" + aAddress + R"(","port":)" + aPort + "}";
+    return ReadHostObject(item);
+  };
+  CHECK(host("10.0.0.9", "7720"));
+  for (const char* port :
+       { "0", "70000", "-1", "4294967297", "7720.5", "{}" }) {
+    CAPTURE(port);
+    CHECK_FALSE(host("10.0.0.9", port));
+  }
+  for (const char* address : { "", "nowhere", "10.0.0.999", "10.0.0.9:1" }) {
+    CAPTURE(address);
+    CHECK_FALSE(host(address, "7720"));
+  }
+}
