Continue a list after any name, and end it where it cannot go on

On call would see: a host that lists the servers without end, or one that drops all targets of a list's later pages.

Cause: the name to continue after was put into the query as it is, so that a space, "&" or a byte beyond ASCII named another object; a name that is not UTF-8 was changed, which started the list anew. A page without any readable name was asked for again and again, or ended the list as if it were complete.

Change: names are escaped, with the function that moved from store/ to core/.

--- a/src/store/HttpObjectStore.cpp
+++ b/src/store/HttpObjectStore.cpp
@@ -1,5 +1,6 @@
 #include "store/HttpObjectStore.h"
 
+#include "core/UrlText.h"
 #include "net/HttpClient.h"
 #include "store/StoreAnswersPriv.h"
 
--- a/src/store/StoreAnswers.cpp
+++ b/src/store/StoreAnswers.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
-#include <cctype>
 
 namespace lacewing {
 
@@ -73,24 +72,6 @@
 
 } // namespace
 
-std::string EscapeUrl(std::string_view aText)
-{
-  constexpr const char* kHex = "0123456789ABCDEF";
-  std::string escaped;
-  for (const char c : aText) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) != 0 ||
-        std::string_view("-._~/").find(c) != std::string_view::npos) {
-      escaped += c;
-    } else {
-      escaped += '%';
-      escaped += kHex[byte >> 4U];
-      escaped += kHex[byte & 15U];
-    }
-  }
-  return escaped;
-}
-
 Outcome<HttpResponse> CheckAnswer(HttpCallResult aResult, bool aWrite)
 {
   const char* remedy = "wait until the platform's store is back";
--- a/src/store/StoreAnswersPriv.h
+++ b/src/store/StoreAnswersPriv.h
@@ -7,16 +7,11 @@
 #include "store/ListedHost.h"
 #include "store/ObjectValue.h"
 
-#include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace lacewing {
 
-/** Escapes a key or a value for a request target; slashes stay. */
-std::string EscapeUrl(std::string_view aText);
-
 /**
  * The answer when its status is a success or 304, else the error that
  * ObjectStore promises. aWrite tells whether a lost answer leaves the call's
--- a/tests/KindWatcherTest.cpp
+++ b/tests/KindWatcherTest.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <optional>
 
 using namespace lacewing;
 using namespace std::chrono_literals;
@@ -48,6 +49,34 @@
   ScriptedTarget server_;
 };
 
+/** A list's page of one object; aMetadata is what its name stands in. */
+std::string Page(const std::string& aMetadata, bool aMore)
+{
+  return OkResponse(R"({"items":[{"metadata":{)" + aMetadata +
+                    R"(,"revision":4},"spec":{}}],"more":)" +
+                    (aMore ? "true" : "false") + R"(,"store_revision":100})");
+}
+
+/** The changes that a watcher of a store with this script hands on first. */
+CatalogChanges FirstChanges(ScriptedTarget& aStore)
+{
+  asio::io_context context(1);
+  const MonotonicClock clock;
+  std::optional<CatalogChanges> first;
+  platform::KindWatcher::Events events;
+  events.onChanges = [&](CatalogKind, const CatalogChanges& aChanges) {
+    first = first ? first : aChanges;
+  };
+  events.onEra = [](StoreEra) {};
+  events.onFailure = [] {};
+  platform::KindWatcher watcher(
+    context, clock, aStore.Address(), CatalogKind::kTarget, std::move(events));
+  watcher.Start({});
+  RunUntil(context, [&] { return first || aStore.Runs() > 100; });
+  watcher.Stop();
+  return first.value_or(CatalogChanges());
+}
+
 } // namespace
 
 // Guards against dropping a watch's answer that has arrived, which costs
@@ -76,3 +105,44 @@
   });
   CHECK(store.WatchesFrom100() == 1);
 }
+
+// Guards against a list that starts again and again, or breaks off, because the
+// name to continue after is not the one that the store knows.
+TEST_CASE("odd list: it continues after a name with any characters")
+{
+  const std::pair<const char*, const char*> names[] = {
+    { "i-7f3a.91_c2~", "i-7f3a.91_c2~" },
+    { "a b&c=d?e#f%", "a%20b%26c%3Dd%3Fe%23f%25" },
+    { "\\r\\nX: y", "%0D%0AX%3A%20y" },
+    { "\xc3\xa9", "%C3%A9" },
+    { "\xff\xfe", "%FF%FE" },
+  };
+  for (const auto& [name, query] : names) {
+    CAPTURE(name);
+    const std::string next = std::string("?after=") + query + " HTTP/1.1\r\n";
+    ScriptedTarget store([&](int, const std::string& aRequest) {
+      return aRequest.find(next) == std::string::npos
+               ? Page(R"("name":")" + std::string(name) + '"', true)
+               : Page(R"("name":"z")", false);
+    });
+    const CatalogChanges changes = FirstChanges(store);
+    CHECK(changes.full);
+    CHECK(changes.items.size() == 2);
+  }
+}
+
+// Guards against a list without end, and against one that passes for complete
+// although it broke off, which would drop all targets of its later pages.
+TEST_CASE("odd list: pages without a readable name end it as incomplete")
+{
+  for (const char* first : { R"("name":"a")", R"("name":7)" }) {
+    CAPTURE(first);
+    ScriptedTarget store([&](int aRun, const std::string&) {
+      return Page(aRun == 1 ? first : R"("name":7)", true);
+    });
+    const CatalogChanges changes = FirstChanges(store);
+    CHECK(store.Runs() < 10);
+    CHECK(changes.position.revision == Revision(100));
+    CHECK_FALSE(changes.full);
+  }
+}
