--- a/tests/KindWatcherTest.cpp
+++ b/tests/KindWatcherTest.cpp
@@ -146,3 +146,27 @@
     CHECK_FALSE(changes.full);
   }
 }
+
+// Guards against a watch that fails again and again, because the changes since
+// its revision are more than a host takes in one response.
+TEST_CASE("odd list: a host lists anew when a watch's response is too large")
+{
+  std::atomic<int> lists{ 0 };
+  ScriptedTarget store([&](int, const std::string& aRequest) {
+    if (aRequest.find("watch=") == std::string::npos) {
+      ++lists;
+      return Page(R"("name":"a")", false);
+    }
+    return OkResponse(std::string(9U << 20U, ' '));
+  });
+  asio::io_context context(1);
+  const MonotonicClock clock;
+  platform::KindWatcher::Events events;
+  events.onChanges = [](CatalogKind, const CatalogChanges&) {};
+  events.onEra = [](StoreEra) {};
+  events.onFailure = [] {};
+  platform::KindWatcher watcher(
+    context, clock, store.Address(), CatalogKind::kTarget, std::move(events));
+  watcher.Start({});
+  CHECK(RunUntil(context, [&] { return lists > 1; }));
+}
