Keep text from outside from breaking or filling the log

On call would see: lines that a carriage return hides, escape sequences that change a terminal, or one odd address of 1 MB that pushes other lines out of the 256 KiB that wait for a slow reader.

Cause: only line feeds were escaped, and values had no limit.

Change: control characters are escaped and values cut after 2,000 bytes.

--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,6 +1,7 @@
 #include "core/Log.h"
 
 #include "core/BoundedLog.h"
+#include "core/LogValue.h"
 
 #include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
@@ -83,32 +84,6 @@
   return logger;
 }
 
-bool NeedsQuotes(const std::string& aValue)
-{
-  return aValue.empty() ||
-         aValue.find_first_of(" \"=\n\r\t\\") != std::string::npos;
-}
-
-void AppendValue(std::string& aLine, const std::string& aValue)
-{
-  if (!NeedsQuotes(aValue)) {
-    aLine += aValue;
-    return;
-  }
-  aLine += '"';
-  for (const char c : aValue) {
-    if (c == '"' || c == '\\') {
-      aLine += '\\';
-      aLine += c;
-    } else if (c == '\n') {
-      aLine += "\\n";
-    } else {
-      aLine += c;
-    }
-  }
-  aLine += '"';
-}
-
 } // namespace
 
 Outcome<LogLevel> ParseLogLevel(const std::string& aLevel)
@@ -152,13 +127,12 @@
   if (!RootLogger().isEnabledFor(level)) {
     return;
   }
-  std::string line = "event=";
-  AppendValue(line, aEvent);
+  std::string line = "event=" + FormatLogValue(aEvent);
   for (const LogField& field : aFields) {
     line += ' ';
     line += field.key;
     line += '=';
-    AppendValue(line, field.value);
+    line += FormatLogValue(field.value);
   }
   RootLogger().forcedLog(level, line);
 }
