Write odd entries into the soak's store

Cause: the soak's store held parsed JSON, so that no run met an entry that cannot be read. A process that had ended by itself was also missed if the soak killed its host before the next poll.

A host's process is checked for its end also right before it is killed and after the run. The stand-in's bound of a forgotten history belongs to the state of its copy.

--- a/tests/soak/FaultDriver.cpp
+++ b/tests/soak/FaultDriver.cpp
@@ -1,5 +1,7 @@
 #include "soak/FaultDriver.h"
 
+#include "soak/OddEntries.h"
+
 #include <algorithm>
 #include <array>
 #include <iostream>
@@ -45,6 +47,7 @@
   { "zone-out", true, &FaultDriver::TakeZoneOut, 3000, 8000 },
   { "change-idle-limit", true, &FaultDriver::ChangeIdleLimit, 1, 1 },
   { "stutter-host", true, &FaultDriver::StutterHost, 50, 400 },
+  { "odd-entry", true, &FaultDriver::WriteOddEntry, 200, 4000 },
   { "series", true, &FaultDriver::RunSeries, 300, 2000 },
   { "kill-host", false, &FaultDriver::KillHost, 50, 2000 },
   { "kill-all-hosts", false, &FaultDriver::KillAllHosts, 50, 1000 },
@@ -199,6 +202,14 @@
   }
 }
 
+void FaultDriver::WriteOddEntry(Duration aLength)
+{
+  const std::string name = "odd" + std::to_string(++oddEntries_);
+  world_.Store().PutText("servers", name, MakeOddEntry(random_));
+  world_.After(aLength,
+               [this, name] { world_.Store().Remove("servers", name); });
+}
+
 void FaultDriver::RunSeries(Duration aLength)
 {
   std::uniform_int_distribution<int> count(2, kMostSeriesSteps);
--- a/tests/soak/FaultDriver.h
+++ b/tests/soak/FaultDriver.h
@@ -31,6 +31,8 @@
   void TakeZoneOut(Duration aLength);
   void ChangeIdleLimit(Duration aLength);
   void StutterHost(Duration aLength);
+  /** Another writer leaves an odd entry among those of the servers. */
+  void WriteOddEntry(Duration aLength);
   /** Several planned signals and changes in quick succession. */
   void RunSeries(Duration aLength);
 
@@ -72,6 +74,7 @@
    * the callers do.
    */
   std::mt19937_64 random_;
+  std::uint64_t oddEntries_ = 0;
   std::vector<SoakFault> faults_;
   TimePoint start_;
   TimePoint end_;
--- a/tests/soak/SoakHost.cpp
+++ b/tests/soak/SoakHost.cpp
@@ -74,6 +74,7 @@
 
 void SoakHost::Kill(Duration aDown)
 {
+  CheckExit();
   if (process_) {
     logs_ += process_->Output();
     process_.reset();
@@ -118,16 +119,21 @@
   }
 }
 
-void SoakHost::OnExit(int aCode)
+bool SoakHost::CheckExit()
 {
-  if (!terminatedAt_ || aCode != 0) {
+  const auto code =
+    process_ ? process_->Wait(std::chrono::milliseconds(0)) : std::nullopt;
+  if (!code) {
+    return false;
+  }
+  if (!terminatedAt_ || *code != 0) {
     ledger_.AddViolation("exit",
                          name_ + " exited unexpectedly with code " +
-                           std::to_string(aCode));
+                           std::to_string(*code));
   }
   logs_ += process_->Output();
   process_.reset();
-  Start();
+  return true;
 }
 
 void SoakHost::Poll(Duration aGrace)
@@ -135,10 +141,8 @@
   if (startAt_ && clock_.Now() >= *startAt_) {
     Start();
   }
-  if (process_) {
-    if (const auto code = process_->Wait(std::chrono::milliseconds(0))) {
-      OnExit(*code);
-    }
+  if (CheckExit()) {
+    Start();
   }
   if (terminatedAt_ && !paused_ &&
       clock_.Now() - *terminatedAt_ > aGrace + kExitMargin) {
--- a/tests/soak/SoakHost.h
+++ b/tests/soak/SoakHost.h
@@ -66,6 +66,9 @@
    */
   void Poll(Duration aGrace);
 
+  /** Reports and clears a process that has ended; returns whether it has. */
+  bool CheckExit();
+
   /** Output of all processes of this host so far. */
   std::string Logs() const;
 
@@ -74,7 +77,6 @@
   // probes in a row without a 200.
   static constexpr int kMissesOut = 2;
 
-  void OnExit(int aCode);
   void ProbeReadiness();
 
   const Clock& clock_;
--- a/tests/soak/lacewing_soak.cpp
+++ b/tests/soak/lacewing_soak.cpp
@@ -69,6 +69,9 @@
   }
   const TimePoint calm = world.Time().Now();
   world.RunUntil(calm + kCalm);
+  for (const auto& host : world.Hosts()) {
+    host->CheckExit();
+  }
   world.Ledger().CheckServed(calm);
   world.Ledger().CheckRequests();
   CheckSanitizers(world);
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -9,22 +9,30 @@
 
 const std::string kObjects = "/-/objects/";
 
-HttpMessage Json(unsigned aStatus, const nlohmann::json& aBody)
+HttpMessage Json(unsigned aStatus, std::string aBody)
 {
   HttpMessage response;
   response.head.status = aStatus;
   response.head.fields.Add("Content-Type", "application/json");
-  response.body = aBody.dump();
+  response.body = std::move(aBody);
   return response;
 }
 
-nlohmann::json ObjectJson(const std::string& aName,
-                          std::uint64_t aRevision,
-                          const nlohmann::json& aSpec)
+// Put together as text, since a spec may be no valid JSON.
+std::string ObjectText(const std::string& aName,
+                       std::uint64_t aRevision,
+                       const std::string& aSpec)
 {
-  return { { "metadata", { { "name", aName }, { "revision", aRevision } } },
-           { "spec", aSpec },
-           { "status", nullptr } };
+  const nlohmann::json metadata = { { "name", aName },
+                                    { "revision", aRevision } };
+  return R"({"metadata":)" + metadata.dump() + R"(,"spec":)" + aSpec +
+         R"(,"status":null})";
+}
+
+std::string EventsText(const std::string& aEvents, std::uint64_t aRevision)
+{
+  return R"({"events":[)" + aEvents + R"(],"store_revision":)" +
+         std::to_string(aRevision) + '}';
 }
 
 /** The value of query parameter aName in aTarget; empty if absent. */
@@ -60,6 +68,13 @@
 void StoreStandin::Put(const std::string& aKind,
                        const std::string& aName,
                        const nlohmann::json& aSpec)
+{
+  PutText(aKind, aName, aSpec.dump());
+}
+
+void StoreStandin::PutText(const std::string& aKind,
+                           const std::string& aName,
+                           const std::string& aSpec)
 {
   ++state_.revision;
   state_.objects[aKind][aName] = { state_.revision, aSpec };
@@ -71,7 +86,7 @@
 {
   if (state_.objects[aKind].erase(aName) > 0) {
     ++state_.revision;
-    state_.history.push_back({ state_.revision, aKind, aName, true, nullptr });
+    state_.history.push_back({ state_.revision, aKind, aName, true, "null" });
     RespondToWatches();
   }
 }
@@ -82,14 +97,35 @@
   return kind != state_.objects.end() && kind->second.count(aName) > 0;
 }
 
+std::vector<std::string> StoreStandin::NamesOf(const std::string& aKind) const
+{
+  std::vector<std::string> names;
+  if (const auto kind = state_.objects.find(aKind);
+      kind != state_.objects.end()) {
+    for (const auto& [name, object] : kind->second) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+nlohmann::json StoreStandin::SpecOf(const std::string& aKind,
+                                    const std::string& aName) const
+{
+  return Has(aKind, aName)
+           ? nlohmann::json::parse(
+               state_.objects.at(aKind).at(aName).spec, nullptr, false)
+           : nlohmann::json();
+}
+
 void StoreStandin::ForgetHistory()
 {
   ++state_.revision;
-  historyStart_ = state_.revision;
+  state_.historyStart = state_.revision;
   state_.history.clear();
   for (PendingWatch& pendingWatch : std::exchange(pendingWatches_, {})) {
     pendingWatch.timer->cancel();
-    pendingWatch.respond(Json(410, nlohmann::json::object()));
+    pendingWatch.respond(Json(410, "{}"));
   }
 }
 
@@ -124,11 +160,11 @@
     return;
   }
   if (fault_ == StoreFault::kBusy) {
-    respond(Json(503, nlohmann::json::object()));
+    respond(Json(503, "{}"));
     return;
   }
   if (target.rfind(kObjects, 0) != 0) {
-    respond(Json(404, nlohmann::json::object()));
+    respond(Json(404, "{}"));
     return;
   }
   const std::string path = target.substr(0, target.find('?'));
@@ -156,35 +192,37 @@
   const auto body = nlohmann::json::parse(aRequest.body);
   const std::string name = body.at("metadata").at("name");
   if (Has(aKind, name)) {
-    aRespond(Json(409, nlohmann::json::object()));
+    aRespond(Json(409, "{}"));
     return;
   }
   Put(aKind, name, body.at("spec"));
-  aRespond(Json(200, ObjectJson(name, state_.revision, body.at("spec"))));
+  aRespond(
+    Json(200, ObjectText(name, state_.revision, body.at("spec").dump())));
 }
 
 void StoreStandin::List(const std::string& aKind,
                         const SmallHttpServer::Responder& aRespond)
 {
-  nlohmann::json items = nlohmann::json::array();
+  std::string items;
   for (const auto& [name, object] : state_.objects[aKind]) {
-    items.push_back(ObjectJson(name, object.revision, object.spec));
+    items += (items.empty() ? "" : ",") +
+             ObjectText(name, object.revision, object.spec);
   }
   aRespond(Json(200,
-                { { "items", items },
-                  { "more", false },
-                  { "store_revision", state_.revision } }));
+                R"({"items":[)" + items +
+                  R"(],"more":false,"store_revision":)" +
+                  std::to_string(state_.revision) + '}'));
 }
 
-nlohmann::json StoreStandin::EventsSince(const std::string& aKind,
-                                         std::uint64_t aSince) const
+std::string StoreStandin::EventsSince(const std::string& aKind,
+                                      std::uint64_t aSince) const
 {
-  nlohmann::json events = nlohmann::json::array();
+  std::string events;
   for (const Event& event : state_.history) {
     if (event.kind == aKind && event.revision > aSince) {
-      events.push_back(
-        { { "removed", event.removed },
-          { "object", ObjectJson(event.name, event.revision, event.spec) } });
+      events += std::string(events.empty() ? "" : ",") + R"({"removed":)" +
+                (event.removed ? "true" : "false") + R"(,"object":)" +
+                ObjectText(event.name, event.revision, event.spec) + '}';
     }
   }
   return events;
@@ -195,8 +233,8 @@
                          std::chrono::milliseconds aWait,
                          SmallHttpServer::Responder aRespond)
 {
-  if (aSince < historyStart_ || aSince > state_.revision) {
-    aRespond(Json(410, nlohmann::json::object()));
+  if (aSince < state_.historyStart || aSince > state_.revision) {
+    aRespond(Json(410, "{}"));
     return;
   }
   PendingWatch pendingWatch;
@@ -210,9 +248,7 @@
     if (!aError) {
       const auto respond = at->respond;
       pendingWatches_.erase(at);
-      respond(Json(200,
-                   { { "events", nlohmann::json::array() },
-                     { "store_revision", state_.revision } }));
+      respond(Json(200, EventsText("", state_.revision)));
     }
   });
   RespondToWatches();
@@ -225,7 +261,7 @@
   }
   for (auto pendingWatch = pendingWatches_.begin();
        pendingWatch != pendingWatches_.end();) {
-    const nlohmann::json events =
+    const std::string events =
       EventsSince(pendingWatch->kind, pendingWatch->since);
     if (events.empty()) {
       ++pendingWatch;
@@ -234,8 +270,7 @@
     const auto respond = pendingWatch->respond;
     pendingWatch->timer->cancel();
     pendingWatch = pendingWatches_.erase(pendingWatch);
-    respond(Json(
-      200, { { "events", events }, { "store_revision", state_.revision } }));
+    respond(Json(200, EventsText(events, state_.revision)));
   }
 }
 
--- a/tests/support/StoreStandin.h
+++ b/tests/support/StoreStandin.h
@@ -45,6 +45,10 @@
   void Put(const std::string& aKind,
            const std::string& aName,
            const nlohmann::json& aSpec);
+  /** The same with a spec that need not be valid JSON. */
+  void PutText(const std::string& aKind,
+               const std::string& aName,
+               const std::string& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
 
   void SetFault(StoreFault aFault) { fault_ = aFault; }
@@ -73,12 +77,16 @@
   std::uint64_t SerializableCalls() const { return serializableCalls_; }
 
   bool Has(const std::string& aKind, const std::string& aName) const;
+  std::vector<std::string> NamesOf(const std::string& aKind) const;
+  /** Null if there is no such object, discarded if it is no valid JSON. */
+  nlohmann::json SpecOf(const std::string& aKind,
+                        const std::string& aName) const;
 
 private:
   struct Object
   {
     std::uint64_t revision = 0;
-    nlohmann::json spec;
+    std::string spec;
   };
   struct Event
   {
@@ -86,7 +94,7 @@
     std::string kind;
     std::string name;
     bool removed = false;
-    nlohmann::json spec;
+    std::string spec;
   };
   /** What the store loses when it returns to an earlier copy. */
   struct State
@@ -94,6 +102,8 @@
     std::map<std::string, std::map<std::string, Object>> objects;
     std::vector<Event> history;
     std::uint64_t revision = 100;
+    /** Watches from a lower revision get status 410. */
+    std::uint64_t historyStart = 0;
   };
   /** A watch that has not received its response yet. */
   struct PendingWatch
@@ -116,8 +126,7 @@
              SmallHttpServer::Responder aRespond);
   /** Responds to the pending watches that have events to report. */
   void RespondToWatches();
-  nlohmann::json EventsSince(const std::string& aKind,
-                             std::uint64_t aSince) const;
+  std::string EventsSince(const std::string& aKind, std::uint64_t aSince) const;
 
   asio::io_context& context_;
   const std::string address_;
@@ -128,8 +137,6 @@
   /** Responders of calls that get no response. */
   std::vector<SmallHttpServer::Responder> unansweredResponders_;
   std::uint64_t era_ = 1;
-  /** Watches from a lower revision get status 410. */
-  std::uint64_t historyStart_ = 0;
   std::uint64_t calls_ = 0;
   std::uint64_t serializableCalls_ = 0;
   StoreFault fault_ = StoreFault::kNone;
