Let the soak's store come back from a copy

Cause: the users' new rule was not among the soak's faults, and no check told whether a host goes back to a configuration that it had left.

Change: the fault store-restored takes a copy and returns to it 0.3 to 4 s later, half of the times with an outage of 0.1 to 1.5 s. Sometimes a new configuration or a draining server comes first, so that revisions are given out again; then the operator and the servers (entries now have born and sequence as PROTOCOL.md says) write the lost states within 2 s, and entries without a living server are dropped after 4.5 s. Each configuration version has a route of its own, to which an eighth of the requests go: 404 is a violation when the version is due (--planned) and, in both modes, 250 ms after the same process has used that version or a later one. An ack whose bound still ran when the store went away is due when all is written again.

--- a/tests/soak/FaultDriver.cpp
+++ b/tests/soak/FaultDriver.cpp
@@ -20,9 +20,6 @@
 constexpr int kMostStutterMs = 400;
 constexpr int kMostSeriesSteps = 8;
 constexpr Duration kLinkDelay = std::chrono::milliseconds(120);
-// A draining server keeps serving for this long, which is longer than the bound
-// within which hosts must stop sending to it.
-constexpr Duration kServeWhileLeaving = std::chrono::milliseconds(3500);
 
 using ServerFaultSetter = void (*)(ServerFaults&);
 
@@ -47,6 +44,7 @@
   { "zone-out", true, &FaultDriver::TakeZoneOut, 3000, 8000 },
   { "change-idle-limit", true, &FaultDriver::ChangeIdleLimit, 1, 1 },
   { "stutter-host", true, &FaultDriver::StutterHost, 50, 400 },
+  { "store-restored", true, &FaultDriver::RestoreStore, 300, 4000 },
   { "odd-entry", true, &FaultDriver::WriteOddEntry, 200, 4000 },
   { "series", true, &FaultDriver::RunSeries, 300, 2000 },
   { "kill-host", false, &FaultDriver::KillHost, 50, 2000 },
@@ -78,6 +76,7 @@
 FaultDriver::FaultDriver(SoakWorld& aWorld, const SoakOptions& aOptions)
   : world_(aWorld)
   , random_(aOptions.seed)
+  , drill_(aWorld, random_, [this] { WriteLaterChange(); })
 {
   std::copy_if(kFaults.begin(),
                kFaults.end(),
@@ -146,27 +145,25 @@
 
 void FaultDriver::MoveRoute(Duration)
 {
-  world_.MoveRoute();
+  if (!world_.StoreAway()) {
+    world_.MoveRoute();
+  }
 }
 
 void FaultDriver::DrainServer(Duration)
 {
   SoakServer* server = world_.PickServer(random_);
-  if (server == nullptr) {
+  if (server == nullptr || world_.StoreAway()) {
     return;
   }
-  server->draining = true;
-  world_.WriteServer(*server);
-  world_.Ledger().OnServerLeaving(server->spec.id);
-  const ServerSpec spec = server->spec;
-  world_.AddServer(spec.service, spec.zone, true);
-  world_.After(kServeWhileLeaving,
-               [this, spec] { world_.RemoveServer(spec.id); });
+  world_.RetireServer(*server);
+  world_.AddServer(server->spec.service, server->spec.zone, true);
 }
 
 void FaultDriver::JoinServer(Duration)
 {
-  if (const SoakServer* server = world_.PickServer(random_)) {
+  const SoakServer* server = world_.PickServer(random_);
+  if (server != nullptr && !world_.StoreAway()) {
     const ServerSpec spec = server->spec;
     world_.AddServer(spec.service, spec.zone, true);
   }
@@ -175,21 +172,20 @@
 void FaultDriver::TakeZoneOut(Duration aLength)
 {
   const ZoneId zone = world_.ZoneAt(0);
-  if (world_.Store().Has("evacuations", zone.value())) {
+  if (world_.ZoneOut(zone) || world_.StoreAway()) {
     return;
   }
-  world_.Store().Put("evacuations", zone.value(), nlohmann::json::object());
-  world_.Ledger().OnZoneOut(zone);
-  world_.After(aLength, [this, zone] {
-    world_.Ledger().OnZoneBack(zone);
-    world_.Store().Remove("evacuations", zone.value());
-  });
+  world_.SetZoneOut(zone, true);
+  world_.After(aLength, [this, zone] { world_.SetZoneOut(zone, false); });
 }
 
 void FaultDriver::ChangeIdleLimit(Duration)
 {
   std::uniform_int_distribution<int> limit(kLeastIdleLimitMs, kMostIdleLimitMs);
-  world_.SetIdleLimit(std::chrono::milliseconds(limit(random_)));
+  const Duration idle = std::chrono::milliseconds(limit(random_));
+  if (!world_.StoreAway()) {
+    world_.SetIdleLimit(idle);
+  }
 }
 
 /** A pause as a busy machine causes it; too short to cost a request. */
@@ -202,6 +198,24 @@
   }
 }
 
+void FaultDriver::RestoreStore(Duration aAge)
+{
+  lastEnd_ = std::max(lastEnd_, drill_.Start(aAge));
+}
+
+void FaultDriver::WriteLaterChange()
+{
+  static constexpr std::array<void (FaultDriver::*)(Duration), 4> kChanges{
+    { &FaultDriver::MoveRoute,
+      &FaultDriver::ChangeIdleLimit,
+      &FaultDriver::DrainServer,
+      nullptr }
+  };
+  if (const auto change = kChanges[random_() % kChanges.size()]) {
+    (this->*change)(Duration(0));
+  }
+}
+
 void FaultDriver::WriteOddEntry(Duration aLength)
 {
   const std::string name = "odd" + std::to_string(++oddEntries_);
--- a/tests/soak/FaultDriver.h
+++ b/tests/soak/FaultDriver.h
@@ -3,6 +3,7 @@
 
 #include "soak/SoakFault.h"
 #include "soak/SoakWorld.h"
+#include "soak/StoreDrill.h"
 
 #include <vector>
 
@@ -31,8 +32,11 @@
   void TakeZoneOut(Duration aLength);
   void ChangeIdleLimit(Duration aLength);
   void StutterHost(Duration aLength);
+  void RestoreStore(Duration aAge);
   /** Another writer leaves an odd entry among those of the servers. */
   void WriteOddEntry(Duration aLength);
+  /** Something new for the store, which must not be away. */
+  void WriteLaterChange();
   /** Several planned signals and changes in quick succession. */
   void RunSeries(Duration aLength);
 
@@ -74,6 +78,7 @@
    * the callers do.
    */
   std::mt19937_64 random_;
+  StoreDrill drill_;
   std::uint64_t oddEntries_ = 0;
   std::vector<SoakFault> faults_;
   TimePoint start_;
--- a/tests/soak/RouteHistory.cpp
+++ b/tests/soak/RouteHistory.cpp
@@ -4,23 +4,29 @@
 
 namespace lacewing {
 
-void RouteHistory::Add(const std::string& aPrefix,
-                       const std::set<ServiceId>& aServices,
+void RouteHistory::Add(ConfigVersion aVersion,
+                       const std::string& aPrefix,
+                       const ServiceId& aService,
                        TimePoint aAt)
 {
-  versions_[aPrefix][aAt] = aServices;
+  entries_[aPrefix].push_back({ aVersion, aService, aAt, aAt });
+}
+
+void RouteHistory::Delay(TimePoint aAfter, TimePoint aDue)
+{
+  for (auto& [prefix, entries] : entries_) {
+    for (Entry& entry : entries) {
+      if (entry.at > aAfter) {
+        entry.due = std::max(entry.due, aDue);
+      }
+    }
+  }
 }
 
 bool RouteHistory::EverAllowed(const std::string& aPrefix,
                                const ServiceId& aService) const
 {
-  const auto route = versions_.find(aPrefix);
-  return route != versions_.end() &&
-         std::any_of(route->second.begin(),
-                     route->second.end(),
-                     [&aService](const auto& aVersion) {
-                       return aVersion.second.count(aService) > 0;
-                     });
+  return AllowedSince(ConfigVersion(), aPrefix, aService);
 }
 
 bool RouteHistory::Allowed(const std::string& aPrefix,
@@ -28,20 +34,40 @@
                            TimePoint aFrom,
                            TimePoint aTo) const
 {
-  const auto route = versions_.find(aPrefix);
-  if (route == versions_.end()) {
+  const auto route = entries_.find(aPrefix);
+  if (route == entries_.end()) {
     return false;
   }
-  auto version = route->second.upper_bound(aFrom);
-  if (version != route->second.begin()) {
-    --version;
-  }
-  for (; version != route->second.end() && version->first <= aTo; ++version) {
-    if (version->second.count(aService) > 0) {
+  const auto& entries = route->second;
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+    if (entry->at <= aTo && entry->service == aService) {
       return true;
     }
+    if (entry->due <= aFrom) {
+      return false;
+    }
   }
   return false;
 }
 
+bool RouteHistory::AllowedSince(ConfigVersion aVersion,
+                                const std::string& aPrefix,
+                                const ServiceId& aService) const
+{
+  const auto route = entries_.find(aPrefix);
+  return route != entries_.end() &&
+         std::any_of(route->second.begin(),
+                     route->second.end(),
+                     [&](const Entry& aEntry) {
+                       return aEntry.version >= aVersion &&
+                              aEntry.service == aService;
+                     });
+}
+
+bool RouteHistory::Due(const std::string& aPrefix, TimePoint aAt) const
+{
+  const auto route = entries_.find(aPrefix);
+  return route != entries_.end() && route->second.front().due <= aAt;
+}
+
 } // namespace lacewing
--- a/tests/soak/SoakHost.cpp
+++ b/tests/soak/SoakHost.cpp
@@ -68,6 +68,7 @@
   terminatedAt_.reset();
   paused_ = false;
   ledger_.Disturbances().SetRestarting(name_, clock_.Now());
+  ledger_.OnHostStarted(name_);
   process_ = std::make_unique<Process>(
     program_, std::vector<std::string>{ "--settings=" + settings_.Path() });
 }
--- a/tests/soak/SoakLedger.cpp
+++ b/tests/soak/SoakLedger.cpp
@@ -108,6 +108,7 @@
   if (!routes_.EverAllowed(request.prefix, aServer.service)) {
     AddViolation("route", id + " ran at " + aServer.service.value());
   }
+  CheckNotTakenBack(request, aServer.service);
   if (plannedOnly_) {
     if (!routes_.Allowed(request.prefix,
                          aServer.service,
@@ -172,10 +173,87 @@
                  aRequest.id + " received an unexpected body or no signature");
   }
   if (aRequest.status == 404) {
-    AddViolation("denied", aRequest.id + " received 404");
+    CheckDenied(aRequest);
   }
 }
 
+/** The routes of all versions are never denied, that of one when it is due. */
+void SoakLedger::CheckDenied(const SoakRequest& aRequest)
+{
+  const std::string denied =
+    aRequest.id + " for " + aRequest.prefix + " at " + aRequest.host;
+  if (aRequest.version == ConfigVersion()) {
+    AddViolation("denied", denied + " received 404");
+    return;
+  }
+  if (plannedOnly_ &&
+      routes_.Due(aRequest.prefix, aRequest.sentAt - terms_.configApply)) {
+    AddViolation("config", denied + " received 404 though the route is due");
+  }
+  const UsedVersion* used = UsedBefore(aRequest);
+  if (used != nullptr && used->version >= aRequest.version) {
+    AddViolation("taken-back",
+                 denied + " received 404 after version " +
+                   std::to_string(used->version.value()) + " was used");
+  }
+}
+
+const SoakLedger::UsedVersion* SoakLedger::UsedBefore(
+  const SoakRequest& aRequest) const
+{
+  const auto used = usedVersions_.find(aRequest.host);
+  return used != usedVersions_.end() &&
+             used->second.version != ConfigVersion() &&
+             used->second.at + terms_.rollbackSlack < aRequest.sentAt
+           ? &used->second
+           : nullptr;
+}
+
+/** A host that has used a version does not handle requests by older ones. */
+void SoakLedger::CheckNotTakenBack(const SoakRequest& aRequest,
+                                   const ServiceId& aService)
+{
+  const UsedVersion* before = UsedBefore(aRequest);
+  // The own route of an older version is one of all later versions too.
+  if (before != nullptr && aRequest.version == ConfigVersion() &&
+      !routes_.AllowedSince(before->version, aRequest.prefix, aService)) {
+    AddViolation("taken-back",
+                 aRequest.id + " for " + aRequest.prefix + " at " +
+                   aRequest.host + " ran at " + aService.value() +
+                   " after version " + std::to_string(before->version.value()) +
+                   " was used");
+  }
+  // A request that an earlier process had passed on may still arrive.
+  UsedVersion& used = usedVersions_[aRequest.host];
+  if (aRequest.sentAt >= used.startedAt && aRequest.version > used.version) {
+    used.version = aRequest.version;
+    used.at = clock_.Now();
+  }
+}
+
+void SoakLedger::OnHostStarted(const std::string& aHost)
+{
+  usedVersions_[aHost] = { clock_.Now(), ConfigVersion(), TimePoint() };
+}
+
+void SoakLedger::OnStoreAway(TimePoint aSettled)
+{
+  const TimePoint now = clock_.Now();
+  routes_.Delay(now - terms_.configApply, aSettled);
+  for (auto& [server, at] : leaving_) {
+    at = now - at < terms_.drain ? aSettled : at;
+  }
+  for (auto& [zone, at] : zonesOut_) {
+    at = now - at < terms_.evacuate ? aSettled : at;
+  }
+}
+
+bool SoakLedger::LeavingNow(const TargetId& aServer) const
+{
+  const auto left = leaving_.find(aServer);
+  return left != leaving_.end() && clock_.Now() - left->second < terms_.drain;
+}
+
 void SoakLedger::OnServerLeaving(const TargetId& aServer)
 {
   leaving_.emplace(aServer, clock_.Now());
@@ -313,7 +391,8 @@
   std::size_t sent = 0;
   std::size_t served = 0;
   for (const auto& [id, request] : requests_) {
-    if (request.sentAt >= aFrom && !request.gaveUp && request.endedAt) {
+    if (request.sentAt >= aFrom && !request.gaveUp && request.endedAt &&
+        request.version == ConfigVersion()) {
       ++sent;
       served += request.status == 200 ? 1 : 0;
     }
--- a/tests/soak/SoakLedger.h
+++ b/tests/soak/SoakLedger.h
@@ -36,6 +36,16 @@
                  bool aCold);
   void OnRun(const ServerSpec& aServer, const HttpMessage& aRequest);
   void OnEnded(const std::string& aId, const ExchangeResult& aResult);
+  /** A process of the host starts, which has used no configuration yet. */
+  void OnHostStarted(const std::string& aHost);
+  /**
+   * The store goes away and comes back from a copy. What it accepted so short
+   * a time ago that hosts need not know of it yet is due at aSettled, by when
+   * its writers have written again what was lost.
+   */
+  void OnStoreAway(TimePoint aSettled);
+  /** Whether the bound of a server's leaving ends now or later. */
+  bool LeavingNow(const TargetId& aServer) const;
   /** aOverdue: after its whole deadline, so that a response was due. */
   void OnGaveUp(const std::string& aId, bool aOverdue);
   /**
@@ -58,6 +68,19 @@
   std::string Summary() const;
 
 private:
+  /** The latest version that a host's process has used, and since when. */
+  struct UsedVersion
+  {
+    TimePoint startedAt;
+    ConfigVersion version;
+    TimePoint at;
+  };
+
+  void CheckNotTakenBack(const SoakRequest& aRequest,
+                         const ServiceId& aService);
+  void CheckDenied(const SoakRequest& aRequest);
+  /** Whether the host had used a version, for the slack, before the request. */
+  const UsedVersion* UsedBefore(const SoakRequest& aRequest) const;
   void CheckResponse(const SoakRequest& aRequest, const HttpMessage& aResponse);
   void RecordEnd(SoakRequest& aRequest);
   void CheckAnswered(const SoakRequest& aRequest);
@@ -75,6 +98,7 @@
   std::map<TargetId, std::deque<TimePoint>> coldArrivals_;
   std::map<TargetId, TimePoint> leaving_;
   std::map<ZoneId, TimePoint> zonesOut_;
+  std::map<std::string, UsedVersion> usedVersions_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/soak/SoakRequest.h
+++ b/tests/soak/SoakRequest.h
@@ -2,6 +2,7 @@
 #define TESTS_SOAK_SOAKREQUEST_H
 
 #include "lacewing/Clock.h"
+#include "lacewing/ConfigVersion.h"
 #include "lacewing/ServiceId.h"
 
 #include <optional>
@@ -28,6 +29,11 @@
   std::string target;
   std::string body;
   bool atMostOnce = false;
+  /**
+   * The configuration version whose own route this is; zero for the routes that
+   * all versions have.
+   */
+  ConfigVersion version;
   std::string host;
   /** Whether the caller ended its sending side after the request. */
   bool endedSending = false;
--- a/tests/soak/SoakTerms.h
+++ b/tests/soak/SoakTerms.h
@@ -17,6 +17,8 @@
   double coldSlack = 8;
   Duration drain = std::chrono::milliseconds(2500);
   Duration configApply = std::chrono::milliseconds(2500);
+  /** A host that has used a version may not go back to an older one. */
+  Duration rollbackSlack = std::chrono::milliseconds(250);
   Duration evacuate = std::chrono::seconds(5);
   Duration grace = std::chrono::seconds(6);
   /**
--- a/tests/soak/SoakWorld.cpp
+++ b/tests/soak/SoakWorld.cpp
@@ -19,6 +19,17 @@
 // serving, so that faults which stop servers always leave some.
 constexpr std::size_t kMinServing = 2;
 constexpr std::size_t kUploadBytes = 20000;
+// Each version has a route of its own, and those of the versions before, of
+// which requests may still be on their way.
+constexpr std::uint64_t kVersionRoutes = 40;
+// One request in this many goes to the route of a recent version.
+constexpr std::uint64_t kVersionRequestEvery = 8;
+constexpr std::uint64_t kRecentVersions = 4;
+constexpr Duration kHeartbeat = std::chrono::milliseconds(1500);
+// A draining server keeps serving for this long, which is longer than the bound
+// within which hosts must stop sending to it.
+constexpr Duration kServeWhileLeaving = std::chrono::milliseconds(3500);
+constexpr const char* kUploadPrefix = "/load/";
 
 struct RouteRow
 {
@@ -30,7 +41,7 @@
 constexpr std::array<RouteRow, 3> kRoutes{ {
   { "/read/", "safe", "GET" },
   { "/post/", "unsafe", "POST" },
-  { "/load/", "upload", "POST" },
+  { kUploadPrefix, "upload", "POST" },
 } };
 
 // Callers have these habits in turn.
@@ -41,6 +52,11 @@
   { false, false, false, true },
 } };
 
+std::string VersionPrefix(std::uint64_t aVersion)
+{
+  return "/version-" + std::to_string(aVersion) + "/";
+}
+
 double Seconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -113,22 +129,34 @@
   };
 }
 
-void SoakWorld::WriteConfiguration()
+ServiceId SoakWorld::ServiceOf(const char* aPrefix) const
+{
+  const bool upload = std::string(aPrefix) == kUploadPrefix;
+  return upload != moved_ ? kSecondService : kFirstService;
+}
+
+nlohmann::json SoakWorld::Configuration() const
 {
   nlohmann::json routes = nlohmann::json::array();
-  for (const RouteRow& row : kRoutes) {
-    const bool upload = std::string(row.kind) == "upload";
-    const ServiceId service = upload != moved_ ? kSecondService : kFirstService;
-    routes.push_back({ { "name", row.prefix },
+  const auto add = [&](const std::string& aPrefix,
+                       const char* aKind,
+                       const ServiceId& aService) {
+    routes.push_back({ { "name", aPrefix },
                        { "host", "soak.example" },
-                       { "path_prefix", row.prefix },
-                       { "kind", row.kind },
+                       { "path_prefix", aPrefix },
+                       { "kind", aKind },
                        { "timeout_s", 3.0 },
                        { "target_latency_s", 1.0 },
-                       { "priority", upload ? 2 : 1 },
+                       { "priority", std::string(aKind) == "upload" ? 2 : 1 },
                        { "max_attempts", terms_.maxAttempts },
-                       { "service", service.value() } });
-    ledger_.Routes().Add(row.prefix, { service }, clock_.Now());
+                       { "service", aService.value() } });
+  };
+  for (const RouteRow& row : kRoutes) {
+    add(row.prefix, row.kind, ServiceOf(row.prefix));
+  }
+  const std::uint64_t oldest = version_ - std::min(version_, kVersionRoutes);
+  for (std::uint64_t version = version_; version > oldest; --version) {
+    add(VersionPrefix(version), "safe", kFirstService);
   }
   nlohmann::json services = nlohmann::json::array();
   for (const ServiceId& service : { kFirstService, kSecondService }) {
@@ -137,12 +165,68 @@
                          { "warmup_s", Seconds(terms_.warmUp) },
                          { "warmup_per_s", terms_.warmUpRate } });
   }
-  store_.Put("config",
-             "main",
-             { { "version", ++version_ },
-               { "routes", routes },
-               { "services", services },
-               { "limits", { { "idle_timeout_s", Seconds(idleLimit_) } } } });
+  return { { "version", version_ },
+           { "routes", routes },
+           { "services", services },
+           { "limits", { { "idle_timeout_s", Seconds(idleLimit_) } } } };
+}
+
+void SoakWorld::WriteConfiguration()
+{
+  ++version_;
+  const ConfigVersion version(version_);
+  for (const RouteRow& row : kRoutes) {
+    ledger_.Routes().Add(
+      version, row.prefix, ServiceOf(row.prefix), clock_.Now());
+  }
+  ledger_.Routes().Add(
+    version, VersionPrefix(version_), kFirstService, clock_.Now());
+  store_.Put("config", "main", Configuration());
+}
+
+void SoakWorld::RewriteConfiguration()
+{
+  const nlohmann::json configuration = Configuration();
+  if (store_.SpecOf("config", "main") != configuration) {
+    store_.Put("config", "main", configuration);
+  }
+}
+
+void SoakWorld::SetZoneOut(const ZoneId& aZone, bool aOut)
+{
+  if (aOut) {
+    zonesOut_.insert(aZone);
+    ledger_.OnZoneOut(aZone);
+  } else {
+    zonesOut_.erase(aZone);
+    ledger_.OnZoneBack(aZone);
+  }
+  RewriteZonesOut();
+}
+
+void SoakWorld::RewriteZonesOut()
+{
+  for (std::size_t i = 0; i < options_.zones; ++i) {
+    const std::string zone = ZoneAt(i).value();
+    const bool out = ZoneOut(ZoneAt(i));
+    if (out && !store_.Has("evacuations", zone)) {
+      store_.Put("evacuations", zone, nlohmann::json::object());
+    } else if (!out) {
+      store_.Remove("evacuations", zone);
+    }
+  }
+}
+
+void SoakWorld::OnStoreAway(TimePoint aSettled)
+{
+  storeAway_ = true;
+  // Their reports may be lost, so that the store accepts them only later.
+  for (SoakServer& server : servers_) {
+    if (ledger_.LeavingNow(server.spec.id)) {
+      server.exitsAt = aSettled + kServeWhileLeaving;
+    }
+  }
+  ledger_.OnStoreAway(aSettled);
 }
 
 void SoakWorld::MoveRoute()
@@ -180,7 +264,12 @@
 void SoakWorld::StartProcess(SoakServer& aServer)
 {
   aServer.spec.id = TargetId("server" + std::to_string(++serverCount_));
-  aServer.born = serverCount_;
+  aServer.born = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+  aServer.startedAt = clock_.Now();
+  aServer.changes = 0;
   aServer.draining = false;
   aServer.process = std::make_unique<ServerStandin>(
     context_,
@@ -195,16 +284,70 @@
   WriteServer(aServer);
 }
 
-void SoakWorld::WriteServer(const SoakServer& aServer)
+void SoakWorld::WriteServer(SoakServer& aServer)
+{
+  ++aServer.changes;
+  store_.Put("servers", aServer.spec.id.value(), EntryOf(aServer));
+}
+
+nlohmann::json SoakWorld::EntryOf(const SoakServer& aServer) const
+{
+  const auto heartbeats =
+    static_cast<std::uint64_t>((clock_.Now() - aServer.startedAt) / kHeartbeat);
+  return { { "service", aServer.spec.service.value() },
+           { "address", aServer.link->ListenEndpoint().ToString() },
+           { "zone", aServer.spec.zone.value() },
+           { "slots", aServer.spec.slots },
+           { "state", aServer.draining ? "draining" : "ready" },
+           { "born", aServer.born },
+           { "sequence", aServer.changes + heartbeats } };
+}
+
+/** A write that changes no more than the sequence leaves the entry as it is. */
+void SoakWorld::RewriteServer(const TargetId& aServer)
+{
+  SoakServer* server = FindServer(aServer);
+  if (server == nullptr || !server->process) {
+    return;
+  }
+  nlohmann::json stored = store_.SpecOf("servers", aServer.value());
+  nlohmann::json entry = EntryOf(*server);
+  if (stored.is_object()) {
+    stored["sequence"] = entry["sequence"];
+  }
+  if (stored != entry) {
+    WriteServer(*server);
+  }
+}
+
+void SoakWorld::DropSilentServers()
+{
+  for (const std::string& name : store_.NamesOf("servers")) {
+    if (FindServer(TargetId(name)) == nullptr) {
+      store_.Remove("servers", name);
+    }
+  }
+}
+
+void SoakWorld::RetireServer(SoakServer& aServer)
+{
+  aServer.draining = true;
+  aServer.exitsAt = clock_.Now() + kServeWhileLeaving;
+  WriteServer(aServer);
+  ledger_.OnServerLeaving(aServer.spec.id);
+  ExitLater(aServer.spec.id, kServeWhileLeaving);
+}
+
+void SoakWorld::ExitLater(const TargetId& aServer, Duration aDelay)
 {
-  store_.Put("servers",
-             aServer.spec.id.value(),
-             { { "service", aServer.spec.service.value() },
-               { "address", aServer.link->ListenEndpoint().ToString() },
-               { "zone", aServer.spec.zone.value() },
-               { "slots", aServer.spec.slots },
-               { "state", aServer.draining ? "draining" : "ready" },
-               { "born", aServer.born } });
+  After(aDelay, [this, aServer] {
+    const SoakServer* server = FindServer(aServer);
+    if (server != nullptr && server->exitsAt > clock_.Now()) {
+      ExitLater(aServer, server->exitsAt - clock_.Now());
+    } else {
+      RemoveServer(aServer);
+    }
+  });
 }
 
 void SoakWorld::RemoveServer(const TargetId& aServer)
@@ -337,11 +480,19 @@
 
 SoakRequest SoakWorld::MakeRequest()
 {
-  const RouteRow& row = kRoutes[random_() % kRoutes.size()];
-  const bool upload = std::string(row.kind) == "upload";
   SoakRequest request;
   request.id =
     "soak-" + std::to_string(options_.seed) + "-" + std::to_string(++requests_);
+  if (random_() % kVersionRequestEvery == 0) {
+    request.version =
+      ConfigVersion(version_ - random_() % std::min(version_, kRecentVersions));
+    request.prefix = VersionPrefix(request.version.value());
+    request.method = "GET";
+    request.target = request.prefix + request.id;
+    return request;
+  }
+  const RouteRow& row = kRoutes[random_() % kRoutes.size()];
+  const bool upload = std::string(row.kind) == "upload";
   request.prefix = row.prefix;
   request.method = row.method;
   request.target = std::string(row.prefix) + request.id;
--- a/tests/soak/SoakWorld.h
+++ b/tests/soak/SoakWorld.h
@@ -56,7 +56,9 @@
   void RemoveServer(const TargetId& aServer);
   /** Restarts a stopped server, cold, with a new id at its old address. */
   void ReviveServer(SoakServer& aServer, const ServiceId& aService);
-  void WriteServer(const SoakServer& aServer);
+  void WriteServer(SoakServer& aServer);
+  /** The server drains now and exits some time later. */
+  void RetireServer(SoakServer& aServer);
   SoakServer* FindServer(const TargetId& aServer);
   /** Returns the link that listens at aListen; null if there is none now. */
   ProxyPair* FindLink(const Endpoint& aListen);
@@ -65,6 +67,24 @@
 
   /** Writes a configuration version in which the routes swap their services. */
   void MoveRoute();
+  /** Evacuates a zone, or takes that back. */
+  void SetZoneOut(const ZoneId& aZone, bool aOut);
+  bool ZoneOut(const ZoneId& aZone) const { return zonesOut_.count(aZone) > 0; }
+
+  /**
+   * From now on the store accepts nothing, until it comes back; all writers
+   * have written again what was lost by aSettled.
+   */
+  void OnStoreAway(TimePoint aSettled);
+  void OnStoreBack() { storeAway_ = false; }
+  bool StoreAway() const { return storeAway_; }
+  // What the writers do after the store has lost some of their changes.
+  void RewriteConfiguration();
+  void RewriteServer(const TargetId& aServer);
+  void RewriteZonesOut();
+  /** The store drops entries of servers that give no sign of life. */
+  void DropSilentServers();
+
   /** Writes a configuration version with this limit for idle connections. */
   void SetIdleLimit(Duration aLimit);
 
@@ -79,7 +99,12 @@
 
 private:
   nlohmann::json HostSettings(std::size_t aIndex) const;
+  /** A new version. */
   void WriteConfiguration();
+  nlohmann::json Configuration() const;
+  ServiceId ServiceOf(const char* aPrefix) const;
+  nlohmann::json EntryOf(const SoakServer& aServer) const;
+  void ExitLater(const TargetId& aServer, Duration aDelay);
   void StartProcess(SoakServer& aServer);
   void Poll();
   SoakHost* PickHost(const CallerHabit& aHabit);
@@ -99,6 +124,8 @@
   std::list<asio::steady_timer> timers_;
   asio::steady_timer poll_;
   std::uint64_t version_ = 0;
+  std::set<ZoneId> zonesOut_;
+  bool storeAway_ = false;
   bool moved_ = false;
   Duration longestDelay_{};
   Duration idleLimit_ = std::chrono::seconds(1);
