Write four odd entries at a time in the soak

Cause: with one odd entry a run met two or three of the twelve texts, and a hostd that cannot read them often passed.

Change: the fault, now odd-entries, writes four at a time.

--- a/tests/soak/FaultDriver.cpp
+++ b/tests/soak/FaultDriver.cpp
@@ -19,6 +19,7 @@
 constexpr int kLeastStutterMs = 50;
 constexpr int kMostStutterMs = 400;
 constexpr int kMostSeriesSteps = 8;
+constexpr int kOddEntries = 4;
 constexpr Duration kLinkDelay = std::chrono::milliseconds(120);
 
 using ServerFaultSetter = void (*)(ServerFaults&);
@@ -45,7 +46,7 @@
   { "change-idle-limit", true, &FaultDriver::ChangeIdleLimit, 1, 1 },
   { "stutter-host", true, &FaultDriver::StutterHost, 50, 400 },
   { "store-restored", true, &FaultDriver::RestoreStore, 300, 4000 },
-  { "odd-entry", true, &FaultDriver::WriteOddEntry, 200, 4000 },
+  { "odd-entries", true, &FaultDriver::WriteOddEntries, 200, 4000 },
   { "series", true, &FaultDriver::RunSeries, 300, 2000 },
   { "kill-host", false, &FaultDriver::KillHost, 50, 2000 },
   { "kill-all-hosts", false, &FaultDriver::KillAllHosts, 50, 1000 },
@@ -216,12 +217,14 @@
   }
 }
 
-void FaultDriver::WriteOddEntry(Duration aLength)
+void FaultDriver::WriteOddEntries(Duration aLength)
 {
-  const std::string name = "odd" + std::to_string(++oddEntries_);
-  world_.Store().PutText("servers", name, MakeOddEntry(random_));
-  world_.After(aLength,
-               [this, name] { world_.Store().Remove("servers", name); });
+  for (int i = 0; i < kOddEntries; ++i) {
+    const std::string name = "odd" + std::to_string(++oddEntries_);
+    world_.Store().PutText("servers", name, MakeOddEntry(random_));
+    world_.After(aLength,
+                 [this, name] { world_.Store().Remove("servers", name); });
+  }
 }
 
 void FaultDriver::RunSeries(Duration aLength)
--- a/tests/soak/FaultDriver.h
+++ b/tests/soak/FaultDriver.h
@@ -33,8 +33,8 @@
   void ChangeIdleLimit(Duration aLength);
   void StutterHost(Duration aLength);
   void RestoreStore(Duration aAge);
-  /** Another writer leaves an odd entry among those of the servers. */
-  void WriteOddEntry(Duration aLength);
+  /** Another writer leaves odd entries among those of the servers. */
+  void WriteOddEntries(Duration aLength);
   /** Something new for the store, which must not be away. */
   void WriteLaterChange();
   /** Several planned signals and changes in quick succession. */
