--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -12,8 +12,10 @@
 
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <future>
+#include <sys/stat.h>
 #include <thread>
 #include <utility>
 
@@ -461,6 +463,26 @@
   }
 }
 
+// Guards against a host that is ended by SIGHUP because it does not handle
+// signals yet while it reads its settings.
+TEST_CASE("hostd: a reload while the host reads its settings does not end it")
+{
+  HostdFixture fix(10ms);
+  const std::string path = fix.settings.Path() + ".start";
+  REQUIRE(mkfifo(path.c_str(), S_IRUSR | S_IWUSR) == 0);
+  Process hostd("lacewing-hostd", { "--settings=" + path });
+  // Opens when the host does; the host reads on until this is closed.
+  std::ofstream start(path);
+  start << fix.Settings().dump() << std::flush;
+  std::filesystem::rename(fix.settings.Path(), path);
+  hostd.Signal(SIGHUP);
+  start.close();
+  CHECK(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  hostd.Signal(SIGTERM);
+  CHECK(hostd.Wait(6s) == 0);
+  std::filesystem::rename(path, fix.settings.Path());
+}
+
 // Guards against a failed request whose target the logs do not name: a sending
 // that was given up at the route's timeout left no line.
 TEST_CASE("hostd: the logs name the target of a request that timed out")
