--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -117,6 +117,24 @@
   }
 }
 
+// Guards against a list that removes all targets because its entries cannot be
+// told apart.
+TEST_CASE("odd entry: a list or a watch that cannot be split is refused")
+{
+  for (const char* items : { "[1 2]", "[{},,{}]", "[}]", "{}", "null", "7" }) {
+    CAPTURE(items);
+    CHECK_FALSE(ReadList(std::string("{\"items\":") + items +
+                           ",\"more\":false,\"store_revision\":9}",
+                         StoreEra(1),
+                         {}));
+    CHECK_FALSE(
+      ReadEvents(std::string("{\"events\":") + items + ",\"store_revision\":9}",
+                 StoreEra(1),
+                 {}));
+  }
+  CHECK_FALSE(ReadList("{\"store_revision\":9}", StoreEra(1), {}));
+}
+
 // Guards against an odd entry that leaves the server's earlier entry in use.
 TEST_CASE("odd entry: it replaces the earlier entry of its name")
 {
