--- a/src/catalog/CatalogReplica.h
+++ b/src/catalog/CatalogReplica.h
@@ -46,9 +46,8 @@
 
   /**
    * Returns the changes after aPosition and the states of earlier eras that are
-   * still in force; all objects and all unconfirmed
-   * removals if aPosition is zero, of an earlier era, or older than a removal
-   * that is no longer stored.
+   * still in force; all objects and all unconfirmed removals if aPosition is
+   * zero, of an earlier era, or older than a removal that is no longer stored.
    */
   CatalogChanges Since(CatalogKind aKind, StorePosition aPosition) const;
 
--- a/src/core/BoundedLog.h
+++ b/src/core/BoundedLog.h
@@ -29,8 +29,9 @@
   /**
    * Writes the lines that wait and then aLine, as far as the descriptor takes
    * them without blocking; for the handler of a fatal signal, so only with
-   * async-signal-safe calls. Without the lines that wait if a thread is at work
-   * on them. The log takes no lines afterwards.
+   * async-signal-safe calls. If a thread is at work on the lines that wait,
+   * they are left out, and its lines may follow. Otherwise the log takes no
+   * lines afterwards.
    */
   void WriteLast(std::string_view aLine);
 
--- a/src/core/CrashLog.cpp
+++ b/src/core/CrashLog.cpp
@@ -163,7 +163,7 @@
 
 /**
  * Writes the line itself: the users' bench ends a process that calls abort()
- * without its handler of SIGABRT.
+ * without its handler of SIGABRT (docs/platform.md, questions).
  */
 [[noreturn]] void OnTerminate()
 {
--- a/src/core/CrashLog.h
+++ b/src/core/CrashLog.h
@@ -8,7 +8,8 @@
  * SIGFPE or SIGABRT) or by std::terminate first writes the log lines that wait
  * and one line "event=crashed signal=... thread=..." to standard output. The
  * signal's default action follows, so that the exit status stays the same. Does
- * nothing in sanitizer builds, which report such an end themselves.
+ * nothing in sanitizer builds, which report such an end themselves. Called once
+ * in a process.
  */
 void LogCrashes();
 
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -226,7 +226,8 @@
 
   /**
    * A store that came back from a copy may have lost this host's object, which
-   * a host that has no peers needs to find others.
+   * a host that has no peers needs to find others. The configuration's position
+   * stands for all kinds, which reach a new era within one pull or list.
    */
   void NoteEra()
   {
