--- a/review/stand/Stand.cpp
+++ b/review/stand/Stand.cpp
@@ -728,7 +728,9 @@
   return hosts;
 }
 
-std::string Configuration(int aVersion, const std::string& aService)
+std::string Configuration(int aVersion,
+                          const std::string& aService,
+                          int aMaxHead = 16384)
 {
   const auto service = [](const char* aName) {
     return std::string("{\"name\":\"") + aName +
@@ -741,7 +743,8 @@
          "latency_s\":0.8,\"priority\":1,\"service\":\"" +
          aService + "\",\"max_attempts\":2}],\"services\":[" +
          service("ledger") + "," + service("vault") +
-         "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+         "],\"limits\":{\"max_header_bytes\":" + std::to_string(aMaxHead) +
+         ",\"max_body_bytes\":67108864,"
          "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
 }
 
@@ -924,6 +927,62 @@
   Verdict(broken, "DRAIN");
 }
 
+/**
+ * Uploads whose bodies come in small chunks, or with a length. DENIED: proper
+ * requests must not be ended with a 4xx of the hosts' own.
+ */
+[[noreturn]] void UploadInChunks(bool aTrouble)
+{
+  constexpr int kRequests = 60;
+  constexpr int kMaxHead = 8192;
+  const std::string body(16000, 'b');
+  const std::string piece(4, 'b');
+  std::string chunks;
+  for (std::size_t sent = 0; sent < body.size(); sent += piece.size()) {
+    chunks += "4\r\n" + piece + "\r\n";
+  }
+  chunks += "0\r\n\r\n";
+  const Net net = MakeNet();
+  const std::vector<Host> hosts = MakeHosts(net);
+  Store store(net.Ip(200), net.ports.store);
+  std::atomic<int> arrived{ 0 };
+  Server ledger("i-ledger",
+                net.Ip(100),
+                net.ports.server,
+                0.01,
+                [&](const std::string&, double) { ++arrived; });
+  store.Put("config", "main", Configuration(7, "ledger", kMaxHead));
+  store.Put("servers", "i-ledger", ledger.Entry("ledger", "bole"));
+  for (const Host& host : hosts) {
+    StartHost(host, hosts, net);
+  }
+  AwaitReady(hosts, net);
+  SleepUntil(std::max(Now(), 5.0) + 1);
+  int denied = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const Host& host = hosts[static_cast<std::size_t>(i) % hosts.size()];
+    const std::string id = "q" + std::to_string(gNext++);
+    const std::string framing =
+      aTrouble ? "Transfer-Encoding: chunked\r\n"
+               : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string head = "POST /post/x HTTP/1.1\r\nHost: shop.example\r\n"
+                             "Lacewinghoist-Request-Id: " +
+                             id + "\r\nLacewinghoist-Deadline-Ms: 3000\r\n" +
+                             framing + "\r\n";
+    const int status =
+      Call(host.ip, net.ports.front, head + (aTrouble ? chunks : body), 4);
+    Record("client: sends " + id + " to " + host.name + ", head of " +
+           std::to_string(head.size()) + " bytes, body of " +
+           std::to_string(body.size()) + (aTrouble ? " in chunks" : "") +
+           ", gets " + std::to_string(status));
+    denied += status / 100 == 4 ? 1 : 0;
+  }
+  Record("requests: " + std::to_string(kRequests) + ", with a 4xx: " +
+         std::to_string(denied) + ", run: " + std::to_string(arrived));
+  KeepLogs(gFolder);
+  Verdict(denied > 5 + kRequests / 500 ? denied : 0, "DENIED");
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -947,5 +1006,8 @@
   if (scenario == "remove-server") {
     RemoveServer(trouble);
   }
+  if (scenario == "upload-in-chunks") {
+    UploadInChunks(trouble);
+  }
   CannotRun("no scenario " + scenario);
 }
