--- a/review/stand/Stand.cpp
+++ b/review/stand/Stand.cpp
@@ -555,6 +555,7 @@
   std::error_code ignored;
   std::filesystem::remove_all(gFolder, ignored);
   gRecord.flush();
+  std::fflush(nullptr);
   std::_Exit(aCode);
 }
 
@@ -730,7 +731,8 @@
 
 std::string Configuration(int aVersion,
                           const std::string& aService,
-                          int aMaxHead = 16384)
+                          int aMaxHead = 16384,
+                          int aMaxBody = 67108864)
 {
   const auto service = [](const char* aName) {
     return std::string("{\"name\":\"") + aName +
@@ -744,8 +746,8 @@
          aService + "\",\"max_attempts\":2}],\"services\":[" +
          service("ledger") + "," + service("vault") +
          "],\"limits\":{\"max_header_bytes\":" + std::to_string(aMaxHead) +
-         ",\"max_body_bytes\":67108864,"
-         "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
+         ",\"max_body_bytes\":" + std::to_string(aMaxBody) +
+         ",\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
 }
 
 std::string PostRequest(const std::string& aId)
@@ -983,6 +985,77 @@
   Verdict(denied > 5 + kRequests / 500 ? denied : 0, "DENIED");
 }
 
+/**
+ * The operator raises max_body_bytes. CONFIG: a request that is sent later than
+ * config_apply_s after the ack, on a connection that the consumer has kept,
+ * must be handled as the new version allows.
+ */
+[[noreturn]] void RaiseLimit(bool aTrouble)
+{
+  constexpr double kApply = 2;
+  constexpr int kSmall = 4096;
+  constexpr int kLarge = 67108864;
+  constexpr int kConnections = 12;
+  const std::string body(16000, 'b');
+  const Net net = MakeNet();
+  const std::vector<Host> hosts = MakeHosts(net);
+  Store store(net.Ip(200), net.ports.store);
+  Server ledger("i-ledger",
+                net.Ip(100),
+                net.ports.server,
+                0.01,
+                [](const std::string&, double) {});
+  store.Put("config",
+            "main",
+            Configuration(7, "ledger", 16384, aTrouble ? kSmall : kLarge));
+  store.Put("servers", "i-ledger", ledger.Entry("ledger", "bole"));
+  for (const Host& host : hosts) {
+    StartHost(host, hosts, net);
+  }
+  AwaitReady(hosts, net);
+  SleepUntil(std::max(Now(), 5.0) + 1);
+  std::vector<int> kept;
+  const auto send = [&](std::size_t aIndex, const std::string& aBody) {
+    const Host& host = hosts[aIndex % hosts.size()];
+    const std::string id = "q" + std::to_string(gNext++);
+    std::string pending;
+    Message answer;
+    const bool read =
+      SendAll(kept[aIndex],
+              "POST /post/x HTTP/1.1\r\nHost: shop.example\r\n"
+              "Lacewinghoist-Request-Id: " +
+                id + "\r\nLacewinghoist-Deadline-Ms: 3000\r\nContent-Length: " +
+                std::to_string(aBody.size()) + "\r\n\r\n" + aBody) &&
+      ReadMessage(kept[aIndex], pending, answer);
+    Record("client: sends " + id + " on connection " + std::to_string(aIndex) +
+           " to " + host.name + ", body of " + std::to_string(aBody.size()) +
+           ", gets " + (read ? answer.first : std::string("no answer")));
+    return read ? std::atoi(answer.first.substr(9, 3).c_str()) : 0;
+  };
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    const int fd = Connect(hosts[i % hosts.size()].ip, net.ports.front);
+    timeval limit{};
+    limit.tv_sec = 4;
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    kept.push_back(fd);
+    if (send(i, "ok") != 200) {
+      CannotRun("the first request was not served");
+    }
+  }
+  double ackedAt = Now();
+  if (aTrouble) {
+    ackedAt =
+      store.Put("config", "main", Configuration(9, "ledger", 16384, kLarge));
+  }
+  SleepUntil(ackedAt + kApply + 2);
+  int refused = 0;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    refused += send(i, body) == 413 ? 1 : 0;
+  }
+  KeepLogs(gFolder);
+  Verdict(refused, "CONFIG");
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -1009,5 +1082,8 @@
   if (scenario == "upload-in-chunks") {
     UploadInChunks(trouble);
   }
+  if (scenario == "raise-limit") {
+    RaiseLimit(trouble);
+  }
   CannotRun("no scenario " + scenario);
 }
