--- a/review/stand/Stand.cpp
+++ b/review/stand/Stand.cpp
@@ -729,6 +729,20 @@
   return hosts;
 }
 
+/** The route's service, or its split if aService is one in JSON. */
+std::string TargetPart(const std::string& aService)
+{
+  return aService.front() == '[' ? "\"traffic_split\":" + aService
+                                 : "\"service\":\"" + aService + "\"";
+}
+
+/** The split of the route between its two services. */
+std::string Split(int aLedger, int aVault)
+{
+  return "[{\"service\":\"ledger\",\"weight\":" + std::to_string(aLedger) +
+         "},{\"service\":\"vault\",\"weight\":" + std::to_string(aVault) + "}]";
+}
+
 std::string Configuration(int aVersion,
                           const std::string& aService,
                           int aMaxHead = 16384,
@@ -742,8 +756,8 @@
   return "{\"version\":" + std::to_string(aVersion) +
          ",\"routes\":[{\"name\":\"r-1\",\"host\":\"shop.example\",\"path_"
          "prefix\":\"/post/\",\"kind\":\"unsafe\",\"timeout_s\":3,\"target_"
-         "latency_s\":0.8,\"priority\":1,\"service\":\"" +
-         aService + "\",\"max_attempts\":2}],\"services\":[" +
+         "latency_s\":0.8,\"priority\":1," +
+         TargetPart(aService) + ",\"max_attempts\":2}],\"services\":[" +
          service("ledger") + "," + service("vault") +
          "],\"limits\":{\"max_header_bytes\":" + std::to_string(aMaxHead) +
          ",\"max_body_bytes\":" + std::to_string(aMaxBody) +
@@ -1056,6 +1070,70 @@
   Verdict(refused, "CONFIG");
 }
 
+/**
+ * The operator changes a split from 90 to 10 into 1 to 1. CONFIG: a part's
+ * share of 200 requests or more must not lie more than 0.2 off its weight's.
+ */
+[[noreturn]] void EvenSplit(bool aTrouble)
+{
+  constexpr double kApply = 2;
+  constexpr int kBefore = 20;
+  constexpr int kAfter = 240;
+  constexpr double kMostOff = 0.2;
+  const Net net = MakeNet();
+  const std::vector<Host> hosts = MakeHosts(net);
+  Store store(net.Ip(200), net.ports.store);
+  std::atomic<int> atLedger{ 0 };
+  std::atomic<int> atVault{ 0 };
+  Server ledger("i-ledger",
+                net.Ip(100),
+                net.ports.server,
+                0.02,
+                [&](const std::string&, double) { ++atLedger; });
+  Server vault("i-vault",
+               net.Ip(101),
+               net.ports.server,
+               0.02,
+               [&](const std::string&, double) { ++atVault; });
+  store.Put(
+    "config", "main", Configuration(7, aTrouble ? Split(90, 10) : Split(1, 1)));
+  store.Put("servers", "i-ledger", ledger.Entry("ledger", "bole"));
+  store.Put("servers", "i-vault", vault.Entry("vault", "arada"));
+  for (const Host& host : hosts) {
+    StartHost(host, hosts, net);
+  }
+  AwaitReady(hosts, net);
+  SleepUntil(std::max(Now(), 5.0) + 1);
+  int served = 0;
+  const auto send = [&](int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      const Host& host = hosts[static_cast<std::size_t>(i) % hosts.size()];
+      const std::string id = "q" + std::to_string(gNext++);
+      const int status = Call(host.ip, net.ports.front, PostRequest(id), 4);
+      Record("client: " + id + " to " + host.name + " gets " +
+             std::to_string(status));
+      served += status == 200 ? 1 : 0;
+    }
+  };
+  send(kBefore);
+  double ackedAt = Now();
+  if (aTrouble) {
+    ackedAt = store.Put("config", "main", Configuration(9, Split(1, 1)));
+  }
+  SleepUntil(ackedAt + kApply + 2);
+  atLedger = 0;
+  atVault = 0;
+  served = 0;
+  send(kAfter);
+  const double share = static_cast<double>(atVault) / (atLedger + atVault);
+  Record("served " + std::to_string(served) + ", at ledger " +
+         std::to_string(atLedger) + ", at vault " + std::to_string(atVault) +
+         ", the vault's share is " + std::to_string(share) +
+         ", its weight's 0.5");
+  KeepLogs(gFolder);
+  Verdict(share > 0.5 + kMostOff || share < 0.5 - kMostOff ? 1 : 0, "CONFIG");
+}
+
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -1085,5 +1163,8 @@
   if (scenario == "raise-limit") {
     RaiseLimit(trouble);
   }
+  if (scenario == "even-split") {
+    EvenSplit(trouble);
+  }
   CannotRun("no scenario " + scenario);
 }
