Open a watch only once the store was found reachable

Cause: a host that takes up the watch during a store outage sent its watch calls at once and probed the store 0.6 s later. If the outage ended in between, the calls were lost unnoticed: their timeout is 21 s, and the watchers of all zones, which are replaced together, were equally behind.

Change: the host probes when it takes up the role and sends the watch calls after the first probe that succeeds.

--- a/src/fleet/CatalogSource.h
+++ b/src/fleet/CatalogSource.h
@@ -24,7 +24,10 @@
   {
     /** Objects were listed or have changed. Also called if nothing differs. */
     std::function<void(CatalogKind, const CatalogChanges&)> onChanges;
-    /** The store became reachable (true) or unreachable (false). */
+    /**
+     * The store was found to be reachable (true) or unreachable (false), for
+     * the first time since watching began or otherwise than before.
+     */
     std::function<void(bool)> onReachable;
   };
   using ListHandler = std::function<void(Outcome<std::vector<PeerAddress>>)>;
@@ -36,8 +39,9 @@
 
   /**
    * Starts or stops watching the store, or changes the pace of the watch. A
-   * start continues from the positions aKnown (by CatalogKind), and lists all
-   * objects of a kind whose position is zero or of an earlier era.
+   * watch begins once the store has been found reachable. It continues from the
+   * positions aKnown (by CatalogKind), and lists all objects of a kind whose
+   * position is zero or of an earlier era.
    */
   virtual void Follow(WatchRole aRole,
                       const std::vector<StorePosition>& aKnown) = 0;
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -245,7 +245,9 @@
 
   void OnReachable(bool aReachable)
   {
-    election.OnReachable(aReachable);
+    if (!election.OnReachable(aReachable)) {
+      return;
+    }
     peers->SendZoneHeartbeats(targetManager.OwnReadings());
     peers->SendZoneDigest();
     UpdateWatchRole();
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -4,6 +4,7 @@
 #include "core/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewing {
 
@@ -65,15 +66,18 @@
   return true;
 }
 
-void WatchElection::OnReachable(bool aReachable)
+bool WatchElection::OnReachable(bool aReachable)
 {
-  storeOk_ = aReachable;
-  Log(aReachable ? LogLevel::kInfo : LogLevel::kWarning,
-      "store",
-      { { "is", aReachable ? "regained" : "lost" } });
   if (!aReachable) {
     storeRetryAt_ = clock_.Now() + kStoreRetryDelay;
   }
+  if (std::exchange(storeOk_, aReachable) == aReachable) {
+    return false;
+  }
+  Log(aReachable ? LogLevel::kInfo : LogLevel::kWarning,
+      "store",
+      { { "is", aReachable ? "regained" : "lost" } });
+  return true;
 }
 
 std::vector<OwnerCandidate> WatchElection::HostsReachingStore(
--- a/src/fleet/WatchElection.h
+++ b/src/fleet/WatchElection.h
@@ -22,8 +22,11 @@
   /** Decides again. Returns whether the role has changed. */
   bool Update(const PeerExchange& aPeers, bool aLeaving);
 
-  /** Notes that the store became reachable or unreachable from this host. */
-  void OnReachable(bool aReachable);
+  /**
+   * Notes that the store is reachable or unreachable from this host. Returns
+   * whether that has changed.
+   */
+  bool OnReachable(bool aReachable);
 
   WatchRole Role() const { return role_; }
   bool StoreOk() const { return storeOk_; }
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -37,6 +37,16 @@
     client.Follow(WatchRole::kPrimary, std::vector<StorePosition>(3));
   }
 
+  /** Takes up the watch, with what is known, from another host. */
+  void TakeOver()
+  {
+    std::vector<StorePosition> known;
+    for (const CatalogKind kind : kCatalogKinds) {
+      known.push_back(replica.PositionOf(kind));
+    }
+    client.Follow(WatchRole::kPrimary, known);
+  }
+
   bool HasTarget(const std::string& aTarget) const
   {
     return replica.ObjectsOf(CatalogKind::kTarget).count(aTarget) > 0;
@@ -185,6 +195,26 @@
         std::chrono::milliseconds(1300));
 }
 
+// Guards against a watch that is sent into an outage, lost there, and taken for
+// one that waits, since the store is back when it is probed first (CONFIG and
+// DENIED on review/1: no host saw a change for 8 s).
+TEST_CASE("platform store: a watch taken up in a short outage sees changes")
+{
+  Fixture fix;
+  fix.store.Put("servers", "a", kServer);
+  fix.Follow();
+  REQUIRE(fix.RunUntilPresent("a", true));
+  fix.client.Follow(WatchRole::kNone, {});
+  fix.store.SetFault(StoreFault::kUnresponsive);
+  fix.TakeOver();
+  fix.RunFor(std::chrono::milliseconds(300));
+  fix.store.SetFault(StoreFault::kNone);
+  fix.RunFor(std::chrono::milliseconds(2000));
+  fix.store.Put("servers", "b", kServer);
+  fix.RunFor(std::chrono::milliseconds(500));
+  CHECK(fix.HasTarget("b"));
+}
+
 // Guards against frequent calls to a store that refuses them: each one costs.
 TEST_CASE("platform store: a store that refuses gets few calls")
 {
