--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -265,6 +265,22 @@
   CHECK(fix.RunUntilPresent("a", true));
 }
 
+// Guards against a check of the watch that each position of a peer postpones,
+// so that a series of changes keeps a lost watch from being reopened.
+TEST_CASE("platform store: a lost watch is reopened amid a series of changes")
+{
+  Fixture fix;
+  fix.Follow();
+  fix.RunFor(std::chrono::milliseconds(200));
+  fix.store.LoseWatches();
+  fix.store.Put("servers", "a", kServer);
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    fix.client.NotePositions({ {}, { StoreEra(1), Revision(101 + i) }, {} });
+    fix.RunFor(std::chrono::milliseconds(200));
+  }
+  CHECK(fix.HasTarget("a"));
+}
+
 // Guards against changes that are taken for old ones because the store came
 // back from a copy and their revisions are below those that it had reached.
 TEST_CASE("platform store: changes are followed after a return from a copy")
--- a/tests/support/StoreStandin.cpp
+++ b/tests/support/StoreStandin.cpp
@@ -138,6 +138,11 @@
 {
   ++era_;
   state_ = copy_;
+  LoseWatches();
+}
+
+void StoreStandin::LoseWatches()
+{
   for (PendingWatch& pendingWatch : std::exchange(pendingWatches_, {})) {
     pendingWatch.timer->cancel();
     unansweredResponders_.push_back(std::move(pendingWatch.respond));
--- a/tests/support/StoreStandin.h
+++ b/tests/support/StoreStandin.h
@@ -59,6 +59,9 @@
    */
   void ForgetHistory();
 
+  /** Loses the pending watches, which never get a response. */
+  void LoseWatches();
+
   /**
    * Keeps the present state as the copy to which RestoreCopy returns. The
    * history goes with it.
