--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -265,6 +265,70 @@
   CHECK(fix.RunUntilPresent("a", true));
 }
 
+// Guards against a lost response to a watch that neither a probe nor a peer
+// shows, since the outage was shorter than the time between two probes and the
+// peers watch the same store.
+TEST_CASE("platform store: a change whose response was lost is noticed")
+{
+  Fixture fix;
+  fix.store.Put("config", "main", { { "version", 3 } });
+  fix.store.Put("evacuations", "gone", nlohmann::json::object());
+  fix.Follow();
+  fix.RunFor(std::chrono::milliseconds(700));
+  const auto revisionOf = [&](CatalogKind aKind) {
+    const auto& objects = fix.replica.ObjectsOf(aKind);
+    return objects.empty() ? Revision()
+                           : objects.begin()->second.position.revision;
+  };
+  const Revision configuration = revisionOf(CatalogKind::kConfiguration);
+  SUBCASE("configuration")
+  {
+    fix.store.LoseWatches();
+    fix.store.Put("config", "main", { { "version", 5 } });
+    fix.RunFor(std::chrono::milliseconds(1500));
+    CHECK(revisionOf(CatalogKind::kConfiguration) > configuration);
+  }
+  SUBCASE("target")
+  {
+    fix.store.LoseWatches();
+    fix.store.Put("servers", "a", kServer);
+    fix.RunFor(std::chrono::milliseconds(1500));
+    CHECK(fix.HasTarget("a"));
+  }
+  SUBCASE("zone out of service")
+  {
+    fix.store.LoseWatches();
+    fix.store.Put("evacuations", "z", nlohmann::json::object());
+    fix.RunFor(std::chrono::milliseconds(1500));
+    CHECK(fix.replica.ObjectsOf(CatalogKind::kZoneOut).count("z") == 1);
+  }
+  SUBCASE("zone back in service")
+  {
+    fix.store.LoseWatches();
+    fix.store.Remove("evacuations", "gone");
+    fix.RunFor(std::chrono::milliseconds(1500));
+    CHECK(fix.replica.ObjectsOf(CatalogKind::kZoneOut).empty());
+  }
+}
+
+// Guards against watches that are reopened for each change of another kind:
+// each one costs a call.
+TEST_CASE("platform store: changes of another kind cost few calls")
+{
+  Fixture fix;
+  fix.Follow();
+  fix.RunFor(std::chrono::milliseconds(1500));
+  const auto before = fix.store.Calls() - fix.store.SerializableCalls();
+  for (int i = 0; i < 20; ++i) {
+    fix.store.Put("servers", "s" + std::to_string(i), kServer);
+    fix.RunFor(std::chrono::milliseconds(100));
+  }
+  fix.RunFor(std::chrono::milliseconds(1000));
+  // The watch of the targets returns at most every 250 ms, and the one that
+  // waits is not counted.
+  CHECK(fix.store.Calls() - fix.store.SerializableCalls() - before <= 10);
+}
+
 // Guards against a check of the watch that each position of a peer postpones,
 // so that a series of changes keeps a lost watch from being reopened.
 TEST_CASE("platform store: a lost watch is reopened amid a series of changes")
