--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -252,6 +252,27 @@
   CHECK(fix.Uses("back"));
 }
 
+// Guards against a server that gets requests for longer than it serves on after
+// its entry was removed, since the removal followed an outage whose end a probe
+// noticed late (DRAIN on review/2).
+TEST_CASE("platform store: a removal 3 s after an outage takes effect at once")
+{
+  ViewFixture fix;
+  fix.store.Put("servers", "left", kServer);
+  fix.Follow();
+  REQUIRE(fix.RunUntilUsed("left", true));
+  fix.store.SetFault(StoreFault::kUnresponsive);
+  REQUIRE(RunUntil(fix.context, [&] { return fix.reachable == false; }));
+  // A probe that is lost right before the store is back notices it latest.
+  const auto calls = fix.store.Calls();
+  REQUIRE(RunUntil(fix.context, [&] { return fix.store.Calls() > calls; }));
+  fix.store.SetFault(StoreFault::kNone);
+  fix.RunFor(std::chrono::milliseconds(3050));
+  fix.store.Remove("servers", "left");
+  fix.RunFor(std::chrono::milliseconds(500));
+  CHECK_FALSE(fix.Uses("left"));
+}
+
 // Guards against a watch whose connection alone has become unresponsive.
 TEST_CASE("platform store: a watch that stays behind its peers is reopened")
 {
