Apply the callers' limits when a request begins

Cause: the limits on heads and bodies were set when a connection was opened or its last response was written.

Change: the limits are set at the first byte of each request.

--- a/src/gateway/CallerSession.cpp
+++ b/src/gateway/CallerSession.cpp
@@ -79,12 +79,17 @@
   SetStreamOptions(socket_);
   asio::error_code ignored;
   socket_.non_blocking(true, ignored);
-  const CallerLimits limits = Limits();
-  parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
   ArmReadTimer();
   Read();
 }
 
+/** Applies the limits in force at a request's first byte. */
+void CallerSession::SetParserLimits()
+{
+  const CallerLimits limits = Limits();
+  parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
+}
+
 void CallerSession::ArmTimer(Duration aAfter,
                              void (CallerSession::*aOnTimeout)())
 {
@@ -222,6 +227,10 @@
 void CallerSession::ParsePending()
 {
   while (stage_ == Stage::kReading && !pending_.empty()) {
+    if (!parser_.Started()) {
+      // The connection may have been idle across a change of the limits.
+      SetParserLimits();
+    }
     const std::size_t taken = parser_.Feed(pending_);
     pending_.erase(0, taken);
     if (parser_.Failure() != ParseFailure::kNone) {
@@ -345,8 +354,6 @@
   stage_ = Stage::kReading;
   requestId_.clear();
   idleSince_ = state_.Now();
-  const CallerLimits limits = Limits();
-  parser_.SetLimits({ limits.maxHead, limits.maxBody, state_.Buffers() });
   ArmReadTimer();
   ParsePending();
   Read();
--- a/src/gateway/CallerSession.h
+++ b/src/gateway/CallerSession.h
@@ -87,6 +87,7 @@
   void OnLingerTimeout();
   void RecordUnanswered(CloseReason aReason);
   CallerLimits Limits() const;
+  void SetParserLimits();
 
   TrafficState& state_;
   asio::ip::tcp::socket socket_;
--- a/tests/GatewayKeptConnectionTest.cpp
+++ b/tests/GatewayKeptConnectionTest.cpp
@@ -139,6 +139,50 @@
   CheckAnswered(gateway, caller);
 }
 
+// Guards against refusing requests by the limits that were in force when their
+// connection was opened or its last response was written (CONFIG and DENIED on
+// review/3).
+TEST_CASE("gateway: raised limits hold for connections that are open")
+{
+  GatewayTarget target(&RespondOk);
+  TestGateway gateway(target.Address(), kPatientObjective);
+  CallerLimits limits;
+  limits.maxHead = ByteCount(400);
+  limits.maxBody = ByteCount(100);
+  gateway.SetCallerLimits(limits);
+  RawCaller unused(gateway.Port());
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r1", "b"));
+  REQUIRE(caller.ReadUntil("ok r1").find("ok r1") != std::string::npos);
+  gateway.SetCallerLimits(CallerLimits());
+  const std::string request =
+    TestGateway::Request("POST",
+                         "/once/a",
+                         "r2",
+                         std::string(5000, 'b'),
+                         "X: " + std::string(500, 'x') + "\r\n");
+  for (RawCaller* each : { &caller, &unused }) {
+    each->Send(request);
+    CHECK(each->ReadUntil("ok r2").find("ok r2") != std::string::npos);
+  }
+}
+
+// Guards against a lowered limit that holds only for new connections.
+TEST_CASE("gateway: lowered limits hold for connections that are open")
+{
+  GatewayTarget target(&RespondOk);
+  TestGateway gateway(target.Address(), kPatientObjective);
+  RawCaller caller(gateway.Port());
+  caller.Send(TestGateway::Request("POST", "/once/a", "r1", "b"));
+  REQUIRE(caller.ReadUntil("ok r1").find("ok r1") != std::string::npos);
+  CallerLimits limits;
+  limits.maxBody = ByteCount(100);
+  gateway.SetCallerLimits(limits);
+  caller.Send(
+    TestGateway::Request("POST", "/once/a", "r2", std::string(5000, 'b')));
+  CHECK(caller.ReadUntil("\r\n").find(" 413 ") != std::string::npos);
+}
+
 // Guards against keeping connections open that are idle for too long.
 TEST_CASE("gateway: an idle connection is closed at its timeout")
 {
--- a/tests/support/TestGateway.h
+++ b/tests/support/TestGateway.h
@@ -107,8 +107,16 @@
   /** Sets how long a caller's head, body and pause may take from now on. */
   void SetCallerTimeouts(Duration aTimeout)
   {
-    limits_.headTimeout = aTimeout;
-    limits_.idleTimeout = aTimeout;
+    CallerLimits limits = limits_;
+    limits.headTimeout = aTimeout;
+    limits.idleTimeout = aTimeout;
+    SetCallerLimits(limits);
+  }
+
+  /** Sets what callers may send from now on. */
+  void SetCallerLimits(const CallerLimits& aLimits)
+  {
+    limits_ = aLimits;
     auto snapshot = std::make_shared<FleetSnapshot>(*fleet_.Get());
     const RouteTable& routes = *snapshot->routes;
     snapshot->routes = RouteTable::Make(ConfigVersion(2),
