--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -2,12 +2,10 @@
 #include "support/FreePorts.h"
 #include "support/Process.h"
 #include "support/ScriptedTarget.h"
-#include "support/StoreStandin.h"
+#include "support/StoreThread.h"
 #include "support/TempFile.h"
 
-#include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include <chrono>
@@ -24,43 +22,6 @@
 
 namespace {
 
-/** The stand-in of the store on a thread of its own. */
-class StoreThread
-{
-public:
-  StoreThread()
-    : guard_(asio::make_work_guard(context_))
-    , store_(context_, { "127.0.0.1", 0 })
-    , thread_([this] { context_.run(); })
-  {
-  }
-
-  ~StoreThread()
-  {
-    context_.stop();
-    thread_.join();
-  }
-
-  template<class Change>
-  void Do(Change aChange)
-  {
-    std::promise<void> done;
-    asio::post(context_, [&] {
-      aChange(store_);
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-
-  Endpoint Address() const { return store_.Address(); }
-
-private:
-  asio::io_context context_;
-  asio::executor_work_guard<asio::io_context::executor_type> guard_;
-  StoreStandin store_;
-  std::thread thread_;
-};
-
 /** A server of the platform: probes at once, requests after aWork. */
 std::string Serve(const std::string& aHead, std::chrono::milliseconds aWork)
 {
