--- a/tests/KindWatcherTest.cpp
+++ b/tests/KindWatcherTest.cpp
@@ -170,3 +170,31 @@
   watcher.Start({});
   CHECK(RunUntil(context, [&] { return lists > 1; }));
 }
+
+// Guards against a list whose pages never end: the host would keep them all and
+// run out of memory, and its callers' requests would end with it.
+TEST_CASE("odd list: pages without end are dropped and listed anew")
+{
+  constexpr std::size_t kPageBytes = 1U << 20U;
+  std::atomic<int> lists{ 0 };
+  std::atomic<int> pages{ 0 };
+  const std::string padding(kPageBytes, 'x');
+  ScriptedTarget store([&](int aRun, const std::string& aRequest) {
+    ++(aRequest.find("?after=") == std::string::npos ? lists : pages);
+    return Page(R"("name":"n)" + std::to_string(aRun) + R"(","pad":")" +
+                  padding + '"',
+                true);
+  });
+  asio::io_context context(1);
+  const MonotonicClock clock;
+  platform::KindWatcher::Events events;
+  events.onChanges = [](CatalogKind, const CatalogChanges&) {};
+  events.onEra = [](StoreEra) {};
+  events.onFailure = [] {};
+  platform::KindWatcher watcher(
+    context, clock, store.Address(), CatalogKind::kTarget, std::move(events));
+  watcher.Start({});
+  CHECK(RunUntil(context, [&] { return lists > 1; }));
+  CHECK(pages < 40);
+  watcher.Stop();
+}
