Leave memory for bodies to other services

Cause: the responses of all services share one budget of memory. Servers of one service that send long answers and then pause held all of it until the routes' timeouts, and requests with bodies to other services were refused with 503.

Change: the responses of one service may take half of the budget, and always one response of the largest size.

--- a/src/gateway/TargetConnectionPool.cpp
+++ b/src/gateway/TargetConnectionPool.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t kMaxFree = 8;
 // A complete response is kept in memory until it is forwarded.
 constexpr ByteCount kMaxResponse{ 16U << 20U };
+// The part of the memory for bodies that the responses of one service may take.
+// Servers that send long responses and then pause would otherwise hold all of
+// it until the routes' timeouts, and requests to other services be refused.
+constexpr unsigned kServiceDivisor = 2;
 
 } // namespace
 
@@ -57,13 +61,26 @@
   return Open(aTarget);
 }
 
+const std::shared_ptr<BufferBudget>& TargetConnectionPool::BuffersOf(
+  const ServiceId& aService)
+{
+  std::shared_ptr<BufferBudget>& buffers = serviceBuffers_[aService];
+  if (!buffers) {
+    // A service may always hold one response of the largest size.
+    const ByteCount limit = std::max(
+      ByteCount(buffers_->Limit().value() / kServiceDivisor), kMaxResponse);
+    buffers = std::make_shared<BufferBudget>(limit, buffers_);
+  }
+  return buffers;
+}
+
 std::unique_ptr<HttpConnection> TargetConnectionPool::Open(
-  const TargetSpec& aTarget) const
+  const TargetSpec& aTarget)
 {
   ConnectionOptions options;
   options.endpoint = aTarget.endpoint;
   options.limits.maxBody = kMaxResponse;
-  options.limits.budget = buffers_;
+  options.limits.budget = BuffersOf(aTarget.service);
   return std::make_unique<HttpConnection>(context_, options, clock_);
 }
 
@@ -113,6 +130,11 @@
     connections =
       free.empty() ? targets_.erase(connections) : std::next(connections);
   }
+  for (auto each = serviceBuffers_.begin(); each != serviceBuffers_.end();) {
+    // Connections and the bodies that they have read share the budget.
+    each = each->second.use_count() == 1 ? serviceBuffers_.erase(each)
+                                         : std::next(each);
+  }
 }
 
 std::size_t TargetConnectionPool::FreeCount() const
--- a/src/gateway/TargetConnectionPool.h
+++ b/src/gateway/TargetConnectionPool.h
@@ -19,7 +19,10 @@
 class TargetConnectionPool
 {
 public:
-  /** The bodies of responses count against aBuffers. */
+  /**
+   * The bodies of responses count against aBuffers, those of one service
+   * against a part of it.
+   */
   TargetConnectionPool(asio::io_context& aContext,
                        const Clock& aClock,
                        std::shared_ptr<BufferBudget> aBuffers);
@@ -28,7 +31,7 @@
   std::unique_ptr<HttpConnection> Take(const TargetSpec& aTarget);
 
   /** A new connection. */
-  std::unique_ptr<HttpConnection> Open(const TargetSpec& aTarget) const;
+  std::unique_ptr<HttpConnection> Open(const TargetSpec& aTarget);
 
   /** Returns a connection to the pool; closes it if it cannot be reused. */
   void Put(const TargetSpec& aTarget,
@@ -48,6 +51,7 @@
     std::vector<std::unique_ptr<HttpConnection>> free;
   };
 
+  const std::shared_ptr<BufferBudget>& BuffersOf(const ServiceId& aService);
   void Drop(const TargetId& aTarget, const HttpConnection* aConnection);
   bool Expired(const HttpConnection& aConnection) const;
 
@@ -55,6 +59,7 @@
   const Clock& clock_;
   const std::shared_ptr<BufferBudget> buffers_;
   std::map<TargetId, TargetConnections> targets_;
+  std::map<ServiceId, std::shared_ptr<BufferBudget>> serviceBuffers_;
 };
 
 } // namespace lacewing
--- a/tests/GatewayEndlessTest.cpp
+++ b/tests/GatewayEndlessTest.cpp
@@ -184,6 +184,34 @@
   CHECK(StatusOf(gateway.Call("GET", "/safe/x", "after")) == 200);
 }
 
+// Guards against targets of one service that send long answers, pause, and so
+// hold the memory for all bodies until the routes' timeouts, while requests to
+// other services are refused.
+TEST_CASE("gateway: one service's answers leave memory for other requests")
+{
+  constexpr ByteCount kLimit{ 40U << 20U };
+  constexpr std::size_t kSent = 15U << 20U;
+  GatewayTarget pausing([](const std::string& aId, int) {
+    return "HTTP/1.1 200 OK\r\nTest-Id: " + aId +
+           "\r\nTest-Signature: s\r\nContent-Length: " +
+           std::to_string(kSent + 1) + "\r\n\r\n" + std::string(kSent, 'x');
+  });
+  TestGateway gateway(pausing.Address(), kPatientObjective, kLimit);
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < 2; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(gateway.Port()));
+    callers.back()->Send(
+      TestGateway::Request("POST", "/once/x", "r" + std::to_string(i), "b"));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  GatewayTarget sound(
+    [](const std::string& aId, int) { return SignedResponse(aId, ""); });
+  gateway.ConfigureEndpoints({ sound.Address() });
+  gateway.SetCallerLimits(CallerLimits());
+  const std::string body(12U << 20U, 'b');
+  CHECK(StatusOf(gateway.Call("POST", "/once/x", "after", body)) == 200);
+}
+
 // Guards against a target that keeps its answer alive with single bytes: the
 // route's timeout ends it.
 TEST_CASE("gateway: an answer of single bytes ends at the route's timeout")
