--- a/tests/process/HostdFleetTest.cpp
+++ b/tests/process/HostdFleetTest.cpp
@@ -106,15 +106,15 @@
     store.Do([aFault](StoreStandin& aStore) { aStore.SetFault(aFault); });
   }
 
-  /** Waits until the hosts that use aVersion are all hosts. */
+  /** Waits until all hosts use aVersion; returns false after aLimit. */
   bool AllUse(int aVersion, std::chrono::milliseconds aLimit)
   {
     const auto end = std::chrono::steady_clock::now() + aLimit;
-    std::size_t using_ = 0;
-    while (using_ < kHosts && std::chrono::steady_clock::now() < end) {
-      using_ += Uses(using_, aVersion) ? 1 : 0;
+    std::size_t host = 0;
+    while (host < kHosts && std::chrono::steady_clock::now() < end) {
+      host += Uses(host, aVersion) ? 1 : 0;
     }
-    return using_ == kHosts;
+    return host == kHosts;
   }
 
   StoreThread store;
@@ -174,7 +174,7 @@
 {
   HostFleet fleet;
   REQUIRE(fleet.AllUse(1, 10s));
-  // The role of the watchers has settled.
+  // The watchers are elected and have probed the store.
   std::this_thread::sleep_for(2500ms);
   int version = 1;
   for (const auto outage : { 1000ms, 1300ms, 1900ms }) {
