--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -398,7 +398,10 @@
     REQUIRE(HostdFixture::Within(
       8s, [&] { return IsListening(fix.ports.Port(0)); }, 50us));
     hostd.Signal(SIGTERM);
-    CHECK(hostd.Wait(3s) == 0);
+    const std::optional<int> code = hostd.Wait(3s);
+    CAPTURE(code.value_or(-99));
+    CAPTURE(hostd.Output());
+    CHECK(code == 0);
   }
 }
 
