--- /dev/null
+++ b/src/fleet/CatalogProgress.cpp
@@ -0,0 +1,102 @@
+#include "fleet/CatalogProgress.h"
+
+#include "core/Log.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace lacewing {
+
+namespace {
+
+// A pull takes some milliseconds, and a change has to be in force everywhere
+// within 2 s of its acknowledgement.
+constexpr Duration kLate = std::chrono::milliseconds(500);
+
+std::string Milliseconds(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+bool HasReached(const std::vector<StorePosition>& aPositions,
+                const std::vector<StorePosition>& aAwaited)
+{
+  const std::size_t kinds = std::min(aPositions.size(), aAwaited.size());
+  for (std::size_t kind = 0; kind < kinds; ++kind) {
+    if (aPositions[kind] < aAwaited[kind]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+void CatalogProgress::NoteBehind(const std::string& aPeer,
+                                 const std::vector<StorePosition>& aPositions,
+                                 TimePoint aNow)
+{
+  if (!behindSince_) {
+    behindSince_ = aNow;
+    awaited_ = aPositions;
+    reportedBy_ = aPeer;
+    failedPulls_ = 0;
+  }
+}
+
+void CatalogProgress::NoteReached(const std::vector<StorePosition>& aPositions,
+                                  const std::string& aFrom,
+                                  TimePoint aNow)
+{
+  if (!behindSince_ || !HasReached(aPositions, awaited_)) {
+    return;
+  }
+  const Duration behind = aNow - *behindSince_;
+  behindSince_.reset();
+  behind_.Add(behind);
+  if (behind >= kLate) {
+    Log(LogLevel::kWarning,
+        "catalog-late",
+        { { "behind_ms", Milliseconds(behind) },
+          { "reported_by", reportedBy_ },
+          { "from", aFrom },
+          { "failed_pulls", std::to_string(failedPulls_) } });
+  }
+}
+
+void CatalogProgress::NotePull(const std::string& aPeer,
+                               const std::string& aError,
+                               Duration aElapsed)
+{
+  ++pulls_;
+  if (aError.empty()) {
+    return;
+  }
+  ++failures_;
+  ++failedPulls_;
+  Log(LogLevel::kWarning,
+      "catalog-pull",
+      { { "peer", aPeer },
+        { "error", aError },
+        { "ms", Milliseconds(aElapsed) } });
+}
+
+void CatalogProgress::AddMetrics(MetricsPage& aPage) const
+{
+  aPage.AddHistogram("lacewing_catalog_behind_seconds",
+                     "Time between the first report of a change that this host "
+                     "lacked and its arrival.",
+                     {},
+                     behind_);
+  aPage.AddCounter("lacewing_catalog_pulls_total",
+                   "Pulls of changes from peers, by result.",
+                   { { "result", "received" } },
+                   pulls_ - failures_);
+  aPage.AddCounter("lacewing_catalog_pulls_total",
+                   "Pulls of changes from peers, by result.",
+                   { { "result", "failed" } },
+                   failures_);
+}
+
+} // namespace lacewing
--- a/src/fleet/CatalogPuller.cpp
+++ b/src/fleet/CatalogPuller.cpp
@@ -1,6 +1,5 @@
 #include "fleet/CatalogPuller.h"
 
-#include "core/Log.h"
 #include "fleet/PeerCodec.h"
 #include "http/HttpCaller.h"
 
@@ -70,6 +69,7 @@
 {
   asio::io_context& context;
   const Clock& clock;
+  CatalogProgress& progress;
   Handler handler;
   std::unique_ptr<HttpCaller> caller;
   /**
@@ -82,34 +82,42 @@
   /** The replica's change count at that time. */
   std::uint64_t cachedCount = 0;
 
-  void OnResponse(const ExchangeResult& aResult)
+  void OnResponse(const ExchangeResult& aResult, Duration aElapsed)
   {
+    const Endpoint peer = caller->Server();
     if (aResult.end != ExchangeEnd::kAnswered ||
         aResult.answer.head.status != 200) {
-      Log(LogLevel::kWarning,
-          "catalog-pull",
-          { { "peer", caller->Server().ToString() },
-            { "end", ToString(aResult.end) },
-            { "detail", aResult.detail } });
+      progress.NotePull(peer.ToString(),
+                        std::string(ToString(aResult.end)) + ", status " +
+                          std::to_string(aResult.answer.head.status) + " " +
+                          aResult.detail,
+                        aElapsed);
       return;
     }
     const auto pull = DecodePullResponse(aResult.answer.body);
     if (!pull || !IsNumberOfKinds(pull.value().parts.size())) {
-      Log(LogLevel::kWarning,
-          "catalog-pull",
-          { { "peer", caller->Server().ToString() },
-            { "error", "the response cannot be decoded" } });
+      progress.NotePull(
+        peer.ToString(), "the response cannot be decoded", aElapsed);
       return;
     }
-    handler(pull.value());
+    progress.NotePull(peer.ToString(), "", aElapsed);
+    handler(peer, pull.value());
   }
 };
 
 CatalogPuller::CatalogPuller(asio::io_context& aContext,
                              const Clock& aClock,
+                             CatalogProgress& aProgress,
                              Handler aHandler)
-  : impl_(
-      new Impl{ aContext, aClock, std::move(aHandler), nullptr, {}, {}, {}, 0 })
+  : impl_(new Impl{ aContext,
+                    aClock,
+                    aProgress,
+                    std::move(aHandler),
+                    nullptr,
+                    {},
+                    {},
+                    {},
+                    0 })
 {
 }
 
@@ -136,10 +144,13 @@
   HttpMessage request;
   request.head.method = "GET";
   request.head.target = std::string(kPath) + "?after=" + WritePositions(aKnown);
-  impl_->caller->Call(
-    std::move(request), kPullTimeout, [this](const ExchangeResult& aResult) {
-      impl_->OnResponse(aResult);
-    });
+  const TimePoint startedAt = impl_->clock.Now();
+  impl_->caller->Call(std::move(request),
+                      kPullTimeout,
+                      [this, startedAt](const ExchangeResult& aResult) {
+                        impl_->OnResponse(aResult,
+                                          impl_->clock.Now() - startedAt);
+                      });
 }
 
 HttpMessage CatalogPuller::HandleRequest(const HttpMessage& aRequest,
--- a/src/fleet/CatalogPuller.h
+++ b/src/fleet/CatalogPuller.h
@@ -2,6 +2,7 @@
 #define FLEET_CATALOGPULLER_H
 
 #include "catalog/CatalogReplica.h"
+#include "fleet/CatalogProgress.h"
 #include "fleet/CatalogPullResponse.h"
 #include "http/HttpMessage.h"
 #include "lacewing/Clock.h"
@@ -20,10 +21,13 @@
 class CatalogPuller
 {
 public:
-  using Handler = std::function<void(const CatalogPullResponse&)>;
+  using Handler =
+    std::function<void(const Endpoint& aPeer, const CatalogPullResponse&)>;
 
+  /** Reports each pull to aProgress, which must outlive this object. */
   CatalogPuller(asio::io_context& aContext,
                 const Clock& aClock,
+                CatalogProgress& aProgress,
                 Handler aHandler);
   ~CatalogPuller();
   CatalogPuller(const CatalogPuller&) = delete;
--- a/src/fleet/CatalogView.cpp
+++ b/src/fleet/CatalogView.cpp
@@ -32,10 +32,11 @@
 {
 }
 
-void CatalogView::Update(const CatalogReplica& aReplica)
+void CatalogView::Update(const CatalogReplica& aReplica,
+                         const std::string& aFrom)
 {
   updatedAt_ = clock_.Now();
-  UpdateRoutes(aReplica);
+  UpdateRoutes(aReplica, aFrom);
   RemoveTargets(aReplica);
   UpdateTargets(aReplica);
   UpdateZonesOut(aReplica);
@@ -108,7 +109,8 @@
   }
 }
 
-void CatalogView::UpdateRoutes(const CatalogReplica& aReplica)
+void CatalogView::UpdateRoutes(const CatalogReplica& aReplica,
+                               const std::string& aFrom)
 {
   for (const auto& [name, item] :
        aReplica.ObjectsOf(CatalogKind::kConfiguration)) {
@@ -142,6 +144,7 @@
         "configuration",
         { { "version", std::to_string(routes_->Version().value()) },
           { "position", ToString(item.position) },
+          { "from", aFrom },
           { "routes", std::to_string(routes_->RouteCount()) },
           { "customers",
             routes_->NeedsKeys() ? std::to_string(routes_->Customers().size())
--- a/src/fleet/CatalogView.h
+++ b/src/fleet/CatalogView.h
@@ -23,8 +23,12 @@
 public:
   CatalogView(const CatalogDecoder& aDecoder, const Clock& aClock);
 
-  /** Decodes what has changed in aReplica since the last call. */
-  void Update(const CatalogReplica& aReplica);
+  /**
+   * Decodes what has changed in aReplica since the last call. aFrom names the
+   * source of the changes in log lines.
+   */
+  void Update(const CatalogReplica& aReplica,
+              const std::string& aFrom = "store");
 
   /** Whether time alone has changed the view since the last update. */
   bool Outdated() const;
@@ -57,7 +61,7 @@
   };
   using ZonesOut = std::map<ZoneId, std::optional<GraceTime>>;
 
-  void UpdateRoutes(const CatalogReplica& aReplica);
+  void UpdateRoutes(const CatalogReplica& aReplica, const std::string& aFrom);
   void UpdateTargets(const CatalogReplica& aReplica);
   void RemoveTargets(const CatalogReplica& aReplica);
   void UpdateZonesOut(const CatalogReplica& aReplica);
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -3,6 +3,7 @@
 #include "balance/ProbeShare.h"
 #include "core/Log.h"
 #include "core/OneShotTimer.h"
+#include "fleet/CatalogProgress.h"
 #include "fleet/CatalogPuller.h"
 #include "fleet/CatalogView.h"
 #include "fleet/HostDirectory.h"
@@ -11,6 +12,7 @@
 #include "fleet/RestartLog.h"
 #include "fleet/RolloutControl.h"
 #include "fleet/SpillControl.h"
+#include "fleet/StepDelay.h"
 #include "fleet/TargetManager.h"
 #include "fleet/WatchElection.h"
 #include "metrics/MetricsPage.h"
@@ -47,6 +49,9 @@
 // At the first start of a deployment no callers wait. Its watchers are elected
 // and pass the configuration on within this time.
 constexpr Duration kFirstStartReadDelay = std::chrono::milliseconds(3000);
+// Where changes of the catalog come from, in log lines, if not from a peer.
+constexpr const char* kStoreName = "store";
+constexpr const char* kNoSource = "none";
 
 } // namespace
 
@@ -63,6 +68,7 @@
   OneShotTimer firstReadTimer;
   CatalogReplica replica;
   CatalogView view;
+  CatalogProgress progress;
   CatalogPuller puller;
   TargetManager targetManager;
   HostDirectory directory;
@@ -83,6 +89,7 @@
   StoreEra era;
   Membership membership;
   RestartLog restarts;
+  StepDelay stepDelay;
   /** A heartbeat reported that a host joined, left or changed its state. */
   bool membershipChanged = false;
   unsigned ticks = 0;
@@ -110,7 +117,10 @@
     , puller(
         aContext,
         aClock,
-        [this](const CatalogPullResponse& aResponse) { OnPulled(aResponse); })
+        progress,
+        [this](const Endpoint& aPeer, const CatalogPullResponse& aResponse) {
+          OnPulled(aPeer, aResponse);
+        })
     , targetManager(
         aContext,
         aClock,
@@ -242,6 +252,8 @@
     // Only a zone's speakers pull from other zones, and the other hosts of the
     // zone pull from the speakers, because traffic between zones is charged.
     if (aHeartbeat.from.zone == identity.self.zone || peers->IsSpeaker()) {
+      progress.NoteBehind(
+        aHeartbeat.from.host.value(), aHeartbeat.positions, clock.Now());
       puller.Pull(aHeartbeat.from.ToEndpoint(),
                   PositionsFor(aHeartbeat.positions));
     }
@@ -260,7 +272,7 @@
     }
   }
 
-  void OnPulled(const CatalogPullResponse& aResponse)
+  void OnPulled(const Endpoint& aPeer, const CatalogPullResponse& aResponse)
   {
     const std::vector<StorePosition> before = Positions();
     bool changed = false;
@@ -269,7 +281,8 @@
         changed |= replica.Apply(kind, aResponse.parts[IndexOf(kind)]);
       }
     }
-    OnCatalog(changed);
+    OnCatalog(changed, aPeer.ToString());
+    progress.NoteReached(Positions(), aPeer.ToString(), clock.Now());
     source.NotePositions(Positions());
     if (Positions() != before && peers->IsSpeaker()) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
@@ -281,7 +294,8 @@
     confirmedAt = clock.Now();
     const std::vector<StorePosition> before = Positions();
     const bool changed = replica.Apply(aKind, aChanges);
-    OnCatalog(changed);
+    OnCatalog(changed, kStoreName);
+    progress.NoteReached(Positions(), kStoreName, clock.Now());
     if (Positions() != before) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
     }
@@ -290,12 +304,12 @@
     }
   }
 
-  void OnCatalog(bool aChanged)
+  void OnCatalog(bool aChanged, const std::string& aFrom)
   {
     NoteEra();
     // An empty list of orders changes nothing, but ends the wait for it.
     if (aChanged || (rollouts && rollouts->AwaitsOrders(replica))) {
-      view.Update(replica);
+      view.Update(replica, aFrom);
       if (rollouts) {
         rollouts->OnCatalog(replica);
       }
@@ -395,6 +409,7 @@
 
   void OnTick()
   {
+    stepDelay.OnStep(clock.Now(), kTick);
     restarts.Add(peers->TakeRestarts());
     const bool probes = ++ticks % kTicksPerProbe == 0;
     // Hosts that join or leave together are handled together, since each update
@@ -413,7 +428,7 @@
     }
     PullMissedChanges();
     if (view.Outdated()) {
-      OnCatalog(true);
+      OnCatalog(true, kNoSource);
     }
     UpdateSpill();
     targetManager.PublishReadings();
@@ -558,6 +573,8 @@
                   "Probes sent to owned targets.",
                   {},
                   impl_->targetManager.ProbeCount());
+  impl_->progress.AddMetrics(page);
+  impl_->stepDelay.AddMetrics(page);
   if (impl_->rollouts) {
     impl_->rollouts->AddMetrics(page);
   }
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -401,7 +401,8 @@
   asio::io_context context;
   Host host;
   host.List(kConfig, At(2, 10), { Configuration(At(2, 9), 5) });
-  CatalogPuller puller(context, host.clock, [](const auto&) {});
+  CatalogProgress progress;
+  CatalogPuller puller(context, host.clock, progress, {});
   HttpMessage request;
   request.head.target =
     std::string(CatalogPuller::Path()) + "?after=0.0,0.0,0.0";
--- a/tests/RolloutMessageTest.cpp
+++ b/tests/RolloutMessageTest.cpp
@@ -111,7 +111,8 @@
 {
   asio::io_context context;
   const MonotonicClock clock;
-  CatalogPuller puller(context, clock, [](const CatalogPullResponse&) {});
+  CatalogProgress progress;
+  CatalogPuller puller(context, clock, progress, {});
   CatalogReplica replica;
   CatalogChanges orders;
   orders.position = { StoreEra(1), Revision(9) };
