Ask another peer when a pull of changes is not answered

Cause: a host pulled from one peer at a time, waited 700 ms for it, dropped what other peers reported meanwhile, and then asked the first peer by name that was ahead, which may be the silent one again. A peer whose heartbeats arrive while it answers no pull (a cut in one direction, a lossy link) kept back a change for as long as that lasted. Change: PullPlan decides from whom to pull and when: after 150 ms without an answer it asks another peer as well, at most four at a time, and asks a peer that failed after all others. CatalogSync (out of FleetControl) runs the plan, CatalogPuller makes the requests, CatalogPullServer answers those of peers. PullPlanTest covers the decisions with a manual clock.

--- a/src/fleet/CatalogPuller.h
+++ b/src/fleet/CatalogPuller.h
@@ -1,33 +1,33 @@
 #ifndef FLEET_CATALOGPULLER_H
 #define FLEET_CATALOGPULLER_H
 
-#include "catalog/CatalogReplica.h"
-#include "fleet/CatalogProgress.h"
 #include "fleet/CatalogPullResponse.h"
-#include "http/HttpMessage.h"
+#include "fleet/PeerAddress.h"
 #include "lacewing/Clock.h"
-#include "lacewing/Endpoint.h"
+#include "lacewing/Outcome.h"
 
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace lacewing {
 
-/** Pulls catalog changes from peers, and serves the pulls of peers. */
+class HttpCaller;
+struct ExchangeResult;
+
+/** Requests changes of the catalog from peers. */
 class CatalogPuller
 {
 public:
-  using Handler =
-    std::function<void(const Endpoint& aPeer, const CatalogPullResponse&)>;
+  /** Gets the peer, the response, and the time since the request. */
+  using Handler = std::function<
+    void(const PeerAddress&, const Outcome<CatalogPullResponse>&, Duration)>;
 
-  /** Reports each pull to aProgress, which must outlive this object. */
   CatalogPuller(asio::io_context& aContext,
                 const Clock& aClock,
-                CatalogProgress& aProgress,
                 Handler aHandler);
   ~CatalogPuller();
   CatalogPuller(const CatalogPuller&) = delete;
@@ -35,24 +35,22 @@
 
   /**
    * Requests from aPeer all changes after the positions aKnown (by
-   * CatalogKind). Does nothing while a pull is running.
+   * CatalogKind). The handler is called once, at most 700 ms later. No pull
+   * from aPeer may be running.
    */
-  void Pull(const Endpoint& aPeer, const std::vector<StorePosition>& aKnown);
-
-  /**
-   * Returns the response to a peer's pull request, with status 400 if the
-   * request cannot be parsed. Consecutive requests for the same changes share
-   * one compressed body.
-   */
-  HttpMessage HandleRequest(const HttpMessage& aRequest,
-                            const CatalogReplica& aReplica);
-
-  /** The path of pull requests, without the query. */
-  static const char* Path();
+  void Pull(const PeerAddress& aPeer, const std::vector<StorePosition>& aKnown);
 
 private:
-  struct Impl;
-  std::unique_ptr<Impl> impl_;
+  void OnResult(const PeerAddress& aPeer,
+                const ExchangeResult& aResult,
+                Duration aElapsed);
+  /** Closes the connections to all peers but aPeer that wait for nothing. */
+  void CloseIdle(const HostId& aPeer);
+
+  asio::io_context& context_;
+  const Clock& clock_;
+  const Handler handler_;
+  std::map<HostId, std::unique_ptr<HttpCaller>> callers_;
 };
 
 } // namespace lacewing
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -3,8 +3,7 @@
 #include "balance/ProbeShare.h"
 #include "core/Log.h"
 #include "core/OneShotTimer.h"
-#include "fleet/CatalogProgress.h"
-#include "fleet/CatalogPuller.h"
+#include "fleet/CatalogSync.h"
 #include "fleet/CatalogView.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/Membership.h"
@@ -63,13 +62,10 @@
   CatalogSource& source;
   const CatalogDecoder& decoder;
   const std::optional<RolloutLimits> rolloutLimits;
-  const std::vector<CatalogKind> kinds;
   const SnapshotCell<LoadSnapshot>& load;
   OneShotTimer firstReadTimer;
-  CatalogReplica replica;
   CatalogView view;
-  CatalogProgress progress;
-  CatalogPuller puller;
+  CatalogSync catalog;
   TargetManager targetManager;
   HostDirectory directory;
   std::unique_ptr<PeerExchange> peers;
@@ -110,17 +106,15 @@
     , source(aSource)
     , decoder(aDecoder)
     , rolloutLimits(aOptions.rollouts)
-    , kinds(FollowedKinds(aOptions.rollouts.has_value()))
     , load(aLoad)
     , firstReadTimer(aContext)
     , view(aDecoder, aClock)
-    , puller(
-        aContext,
-        aClock,
-        progress,
-        [this](const Endpoint& aPeer, const CatalogPullResponse& aResponse) {
-          OnPulled(aPeer, aResponse);
-        })
+    , catalog(aContext,
+              aClock,
+              FollowedKinds(aOptions.rollouts.has_value()),
+              [this](const PeerAddress& aPeer, bool aChanged, bool aAdvanced) {
+                OnPulled(aPeer, aChanged, aAdvanced);
+              })
     , targetManager(
         aContext,
         aClock,
@@ -190,9 +184,11 @@
   {
     PeerExchange::Events events;
     events.state = [this] {
-      return PeerState{
-        leaving, election.StoreOk(), namesSpeakers, Positions(), confirmedAt
-      };
+      return PeerState{ leaving,
+                        election.StoreOk(),
+                        namesSpeakers,
+                        catalog.Positions(),
+                        confirmedAt };
     };
     events.onMembership = [this] { membershipChanged = true; };
     events.onReading = [this](const LoadReading& aReading) {
@@ -209,82 +205,25 @@
     return events;
   }
 
-  std::vector<StorePosition> Positions() const
-  {
-    std::vector<StorePosition> positions;
-    for (const CatalogKind kind : kinds) {
-      positions.push_back(replica.PositionOf(kind));
-    }
-    return positions;
-  }
-
-  /**
-   * This host's positions, of as many kinds as a peer has stated; a host that
-   * does not follow rollouts knows one kind less.
-   */
-  std::vector<StorePosition> PositionsFor(
-    const std::vector<StorePosition>& aPeer) const
-  {
-    std::vector<StorePosition> positions = Positions();
-    positions.resize(
-      std::min(positions.size(), std::max(aPeer.size(), kCatalogKinds.size())));
-    return positions;
-  }
-
-  /** Whether any of aPositions is newer than this host's. */
-  bool IsAhead(const std::vector<StorePosition>& aPositions) const
-  {
-    return std::any_of(kinds.begin(), kinds.end(), [&](CatalogKind aKind) {
-      return IndexOf(aKind) < aPositions.size() &&
-             aPositions[IndexOf(aKind)] > replica.PositionOf(aKind);
-    });
-  }
-
   void OnPeerCatalog(const PeerHeartbeat& aHeartbeat)
   {
-    if (!IsAhead(aHeartbeat.positions)) {
-      if (aHeartbeat.positions == PositionsFor(aHeartbeat.positions)) {
-        confirmedAt =
-          std::max(confirmedAt, clock.Now() - aHeartbeat.confirmedAge);
-      }
+    if (catalog.Equals(aHeartbeat.positions)) {
+      confirmedAt =
+        std::max(confirmedAt, clock.Now() - aHeartbeat.confirmedAge);
       return;
     }
     // Only a zone's speakers pull from other zones, and the other hosts of the
     // zone pull from the speakers, because traffic between zones is charged.
     if (aHeartbeat.from.zone == identity.self.zone || peers->IsSpeaker()) {
-      progress.NoteBehind(
-        aHeartbeat.from.host.value(), aHeartbeat.positions, clock.Now());
-      puller.Pull(aHeartbeat.from.ToEndpoint(),
-                  PositionsFor(aHeartbeat.positions));
-    }
-  }
-
-  /**
-   * Pulls changes that a heartbeat reported and an earlier pull did not bring.
-   */
-  void PullMissedChanges()
-  {
-    for (const Peer* peer : peers->Alive()) {
-      if (IsAhead(peer->positions)) {
-        puller.Pull(peer->address.ToEndpoint(), PositionsFor(peer->positions));
-        return;
-      }
+      catalog.NotePeer(aHeartbeat.from, aHeartbeat.positions);
     }
   }
 
-  void OnPulled(const Endpoint& aPeer, const CatalogPullResponse& aResponse)
+  void OnPulled(const PeerAddress& aPeer, bool aChanged, bool aAdvanced)
   {
-    const std::vector<StorePosition> before = Positions();
-    bool changed = false;
-    for (const CatalogKind kind : kinds) {
-      if (IndexOf(kind) < aResponse.parts.size()) {
-        changed |= replica.Apply(kind, aResponse.parts[IndexOf(kind)]);
-      }
-    }
-    OnCatalog(changed, aPeer.ToString());
-    progress.NoteReached(Positions(), aPeer.ToString(), clock.Now());
-    source.NotePositions(Positions());
-    if (Positions() != before && peers->IsSpeaker()) {
+    OnCatalog(aChanged, aPeer.host.value());
+    source.NotePositions(catalog.Positions());
+    if (aAdvanced && peers->IsSpeaker()) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
     }
   }
@@ -292,11 +231,10 @@
   void OnStoreChanges(CatalogKind aKind, const CatalogChanges& aChanges)
   {
     confirmedAt = clock.Now();
-    const std::vector<StorePosition> before = Positions();
-    const bool changed = replica.Apply(aKind, aChanges);
+    const std::vector<StorePosition> before = catalog.Positions();
+    const bool changed = catalog.Apply(aKind, aChanges);
     OnCatalog(changed, kStoreName);
-    progress.NoteReached(Positions(), kStoreName, clock.Now());
-    if (Positions() != before) {
+    if (catalog.Positions() != before) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
     }
     if (changed) {
@@ -308,10 +246,10 @@
   {
     NoteEra();
     // An empty list of orders changes nothing, but ends the wait for it.
-    if (aChanged || (rollouts && rollouts->AwaitsOrders(replica))) {
-      view.Update(replica, aFrom);
+    if (aChanged || (rollouts && rollouts->AwaitsOrders(catalog.Replica()))) {
+      view.Update(catalog.Replica(), aFrom);
       if (rollouts) {
-        rollouts->OnCatalog(replica);
+        rollouts->OnCatalog(catalog.Replica());
       }
       targetManager.Rebuild(view, *peers);
     }
@@ -325,7 +263,7 @@
   void NoteEra()
   {
     const StoreEra reached =
-      replica.PositionOf(CatalogKind::kConfiguration).era;
+      catalog.Replica().PositionOf(CatalogKind::kConfiguration).era;
     const StoreEra before = std::exchange(era, reached);
     if (before != StoreEra() && before != reached) {
       Log(LogLevel::kWarning,
@@ -356,7 +294,7 @@
       if (election.Role() != WatchRole::kNone) {
         directory.RegisterSelf();
       }
-      source.Follow(election.Role(), Positions());
+      source.Follow(election.Role(), catalog.Positions());
     }
   }
 
@@ -376,8 +314,8 @@
   {
     firstReadTimer.Arm(firstReadDelay, [self = weak_from_this()] {
       const auto impl = self.lock();
-      if (impl && impl->replica.PositionOf(CatalogKind::kConfiguration) ==
-                    StorePosition()) {
+      if (impl && impl->catalog.Replica().PositionOf(
+                    CatalogKind::kConfiguration) == StorePosition()) {
         impl->source.ReadOnce();
       }
     });
@@ -426,7 +364,7 @@
       directorySearched = true;
       directory.Find();
     }
-    PullMissedChanges();
+    catalog.BeginPulls();
     if (view.Outdated()) {
       OnCatalog(true, kNoSource);
     }
@@ -508,7 +446,7 @@
 
 HttpMessage FleetControl::HandlePull(const HttpMessage& aRequest)
 {
-  return impl_->puller.HandleRequest(aRequest, impl_->replica);
+  return impl_->catalog.HandlePull(aRequest);
 }
 
 void FleetControl::SetProbeLimits(const ProbeLimits& aLimits)
@@ -573,7 +511,7 @@
                   "Probes sent to owned targets.",
                   {},
                   impl_->targetManager.ProbeCount());
-  impl_->progress.AddMetrics(page);
+  impl_->catalog.AddMetrics(page);
   impl_->stepDelay.AddMetrics(page);
   if (impl_->rollouts) {
     impl_->rollouts->AddMetrics(page);
--- a/src/host/HostDaemon.cpp
+++ b/src/host/HostDaemon.cpp
@@ -2,8 +2,8 @@
 
 #include "core/Log.h"
 #include "core/OneShotTimer.h"
-#include "fleet/CatalogPuller.h"
 #include "fleet/FleetControl.h"
+#include "fleet/PullRequest.h"
 #include "gateway/Gateway.h"
 #include "host/AllowanceService.h"
 #include "host/GatewayMetrics.h"
@@ -210,7 +210,7 @@
                  SmallHttpServer::Responder aRespond)
   {
     const std::string& target = aRequest.head.target;
-    if (target.substr(0, target.find('?')) != CatalogPuller::Path()) {
+    if (target.substr(0, target.find('?')) != kPullPath) {
       aRespond(TextResponse(404, ""));
       return;
     }
--- a/tests/CatalogPullTest.cpp
+++ b/tests/CatalogPullTest.cpp
@@ -116,8 +116,8 @@
 TEST_CASE("fleet: a peer that does not answer pulls keeps back no change")
 {
   PullingHost host;
-  CatalogPeer mute(host.context, host.clock, "a");
-  CatalogPeer sound(host.context, host.clock, "b");
+  CatalogPeer mute(host.context, "a");
+  CatalogPeer sound(host.context, "b");
   sound.Serve();
   for (CatalogPeer* peer : { &mute, &sound }) {
     peer->SendHeartbeat(host.Port());
@@ -143,11 +143,10 @@
   PullingHost host;
   std::vector<std::unique_ptr<CatalogPeer>> mute;
   for (const char* name : { "a", "b", "c" }) {
-    mute.push_back(
-      std::make_unique<CatalogPeer>(host.context, host.clock, name));
+    mute.push_back(std::make_unique<CatalogPeer>(host.context, name));
     mute.back()->Learn(Revision(9));
   }
-  CatalogPeer sound(host.context, host.clock, "d");
+  CatalogPeer sound(host.context, "d");
   sound.Serve();
   sound.Learn(Revision(9));
   const milliseconds took =
--- a/tests/RestoredStoreTest.cpp
+++ b/tests/RestoredStoreTest.cpp
@@ -1,8 +1,9 @@
 #include "catalog/CatalogReplica.h"
 #include "core/ManualClock.h"
-#include "fleet/CatalogPuller.h"
+#include "fleet/CatalogPullServer.h"
 #include "fleet/CatalogView.h"
 #include "fleet/PeerCodec.h"
+#include "fleet/PullRequest.h"
 #include "platform/ObjectDecoder.h"
 #include "support/CheckProperty.h"
 
@@ -401,14 +402,12 @@
   asio::io_context context;
   Host host;
   host.List(kConfig, At(2, 10), { Configuration(At(2, 9), 5) });
-  CatalogProgress progress;
-  CatalogPuller puller(context, host.clock, progress, {});
+  CatalogPullServer server;
   HttpMessage request;
-  request.head.target =
-    std::string(CatalogPuller::Path()) + "?after=0.0,0.0,0.0";
+  request.head.target = std::string(kPullPath) + "?after=0.0,0.0,0.0";
   const auto versionPulled = [&] {
     const auto pull =
-      DecodePullResponse(puller.HandleRequest(request, host.replica).body);
+      DecodePullResponse(server.HandleRequest(request, host.replica).body);
     return pull.value().parts[IndexOf(kConfig)].items.at(0).writer.count;
   };
   CHECK(versionPulled() == WriteCount(5));
--- a/tests/RolloutMessageTest.cpp
+++ b/tests/RolloutMessageTest.cpp
@@ -1,6 +1,6 @@
 #include "catalog/CatalogReplica.h"
 #include "core/MonotonicClock.h"
-#include "fleet/CatalogPuller.h"
+#include "fleet/CatalogPullServer.h"
 #include "fleet/PeerCodec.h"
 #include "fleet/RolloutDatagrams.h"
 
@@ -111,8 +111,7 @@
 {
   asio::io_context context;
   const MonotonicClock clock;
-  CatalogProgress progress;
-  CatalogPuller puller(context, clock, progress, {});
+  CatalogPullServer server;
   CatalogReplica replica;
   CatalogChanges orders;
   orders.position = { StoreEra(1), Revision(9) };
@@ -121,7 +120,7 @@
   const auto pull = [&](const std::string& aPositions) {
     HttpMessage request;
     request.head.target = "/catalog?after=" + aPositions;
-    return puller.HandleRequest(request, replica);
+    return server.HandleRequest(request, replica);
   };
   const auto partsOf = [](const HttpMessage& aResponse) {
     return DecodePullResponse(aResponse.body).value().parts;
--- a/tests/support/CatalogPeer.h
+++ b/tests/support/CatalogPeer.h
@@ -2,7 +2,7 @@
 #define TESTS_SUPPORT_CATALOGPEER_H
 
 #include "catalog/CatalogReplica.h"
-#include "fleet/CatalogPuller.h"
+#include "fleet/CatalogPullServer.h"
 #include "fleet/PeerCodec.h"
 #include "http/SmallHttpServer.h"
 
@@ -26,12 +26,10 @@
 {
 public:
   CatalogPeer(asio::io_context& aContext,
-              const Clock& aClock,
               const std::string& aName,
               const std::string& aZone = "z")
     : context_(aContext)
     , acceptor_(aContext, { asio::ip::address_v4::loopback(), 0 })
-    , puller_(aContext, aClock, progress_, {})
     , address_{ HostId(aName),
                 ZoneId(aZone),
                 "127.0.0.1",
@@ -48,7 +46,7 @@
                 address_.ToEndpoint(),
                 [this](const HttpMessage& aRequest, auto aRespond) {
                   ++pulls;
-                  aRespond(puller_.HandleRequest(aRequest, replica_));
+                  aRespond(pulls_.HandleRequest(aRequest, replica_));
                 })
                 .value();
   }
@@ -88,8 +86,7 @@
   asio::io_context& context_;
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::udp::socket socket_{ context_, asio::ip::udp::v4() };
-  CatalogProgress progress_;
-  CatalogPuller puller_;
+  CatalogPullServer pulls_;
   CatalogReplica replica_;
   const PeerAddress address_;
   std::unique_ptr<SmallHttpServer> server_;
