Watch the store from a host that no peer answers

Callers saw: requests handled by an old configuration for as long as a cut between hosts lasts. Cause: a host that hears its peers and cannot reach them kept asking them and never turned to the store, which it may reach. Change: a host that has known of a change for 500 ms without getting it watches the store itself for 5 s, and says so in event=watch reason=.

--- a/src/fleet/CatalogProgress.cpp
+++ b/src/fleet/CatalogProgress.cpp
@@ -65,6 +65,11 @@
   }
 }
 
+Duration CatalogProgress::Behind(TimePoint aNow) const
+{
+  return behindSince_ ? aNow - *behindSince_ : Duration(0);
+}
+
 void CatalogProgress::NotePull(const std::string& aPeer,
                                const std::string& aError,
                                Duration aElapsed)
--- a/src/fleet/CatalogProgress.h
+++ b/src/fleet/CatalogProgress.h
@@ -33,6 +33,9 @@
                    const std::string& aFrom,
                    TimePoint aNow);
 
+  /** For how long this host has known of changes that it lacks. */
+  Duration Behind(TimePoint aNow) const;
+
   /** A pull from aPeer ended after aElapsed; aError is empty if it worked. */
   void NotePull(const std::string& aPeer,
                 const std::string& aError,
--- a/src/fleet/CatalogSync.h
+++ b/src/fleet/CatalogSync.h
@@ -56,6 +56,9 @@
   void NotePeer(const PeerAddress& aPeer,
                 const std::vector<StorePosition>& aPositions);
 
+  /** For how long this host has known of changes that it lacks. */
+  Duration Behind() const { return progress_.Behind(clock_.Now()); }
+
   /** Periodic step: begins a pull that is due. */
   void BeginPulls();
 
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -290,7 +290,7 @@
    */
   void UpdateWatchRole()
   {
-    if (election.Update(*peers, leaving)) {
+    if (election.Update(*peers, leaving, catalog.Behind())) {
       if (election.Role() != WatchRole::kNone) {
         directory.RegisterSelf();
       }
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -22,6 +22,12 @@
 // A host that could not reach the store is not chosen again to watch it for
 // this long, unless no host can reach it.
 constexpr Duration kStoreRetryDelay = std::chrono::seconds(8);
+// A host that has not got a change from its peers for this long is probably cut
+// off from them. Pulls that fail cost some 150 ms each.
+constexpr Duration kMaxBehind = std::chrono::milliseconds(500);
+// Network partitions last seconds; a host that gave up its watch at the first
+// change that it receives would get each further one late.
+constexpr Duration kOwnWatchTime = std::chrono::seconds(5);
 
 } // namespace
 
@@ -35,7 +41,9 @@
 {
 }
 
-bool WatchElection::Update(const PeerExchange& aPeers, bool aLeaving)
+bool WatchElection::Update(const PeerExchange& aPeers,
+                           bool aLeaving,
+                           Duration aBehind)
 {
   const TimePoint now = clock_.Now();
   if (firstStart_ && now < startedAt_ + kMaxWait) {
@@ -57,12 +65,21 @@
     // trying.
     hosts = aPeers.Candidates();
   }
-  const WatchRole newRole = WatchRoleOf(self_, hosts, otherZones);
+  const WatchRole elected = WatchRoleOf(self_, hosts, otherZones);
+  if (aBehind >= kMaxBehind) {
+    watchesItselfUntil_ = now + kOwnWatchTime;
+  }
+  const bool watchesItself = elected == WatchRole::kNone && storeOk_ &&
+                             !aLeaving && now < watchesItselfUntil_;
+  const WatchRole newRole = watchesItself ? WatchRole::kStandby : elected;
   if (newRole == role_) {
     return false;
   }
   role_ = newRole;
-  Log(LogLevel::kInfo, "watch", { { "role", ToString(role_) } });
+  Log(LogLevel::kInfo,
+      "watch",
+      { { "role", ToString(role_) },
+        { "reason", watchesItself ? "peers do not answer" : "elected" } });
   return true;
 }
 
--- a/src/fleet/WatchElection.h
+++ b/src/fleet/WatchElection.h
@@ -19,8 +19,11 @@
                 const OwnerCandidate& aSelf,
                 bool aFirstStart);
 
-  /** Decides again. Returns whether the role has changed. */
-  bool Update(const PeerExchange& aPeers, bool aLeaving);
+  /**
+   * Decides again. Returns whether the role has changed. aBehind says for how
+   * long this host has known of changes that it could not get from peers.
+   */
+  bool Update(const PeerExchange& aPeers, bool aLeaving, Duration aBehind);
 
   /**
    * Notes that the store is reachable or unreachable from this host. Returns
@@ -40,6 +43,8 @@
   const bool firstStart_;
   const TimePoint startedAt_;
   TimePoint storeRetryAt_;
+  /** Until then this host watches even if others are elected. */
+  TimePoint watchesItselfUntil_;
   WatchRole role_ = WatchRole::kNone;
   bool storeOk_ = true;
 };
--- a/tests/CatalogPullTest.cpp
+++ b/tests/CatalogPullTest.cpp
@@ -11,12 +11,15 @@
 
 using std::chrono::milliseconds;
 
-/** A store that this host does not reach; keeps the positions of the host. */
-class UnusedSource final : public CatalogSource
+/** A store that tells nothing; keeps what the host reports to it. */
+class SilentSource final : public CatalogSource
 {
 public:
   void SetEvents(Events) override {}
-  void Follow(WatchRole, const std::vector<StorePosition>&) override {}
+  void Follow(WatchRole aRole, const std::vector<StorePosition>&) override
+  {
+    role = aRole;
+  }
   void ReadOnce() override {}
   void NotePositions(const std::vector<StorePosition>& aPositions) override
   {
@@ -26,6 +29,7 @@
   void ListHosts(ListHandler) override {}
 
   std::vector<StorePosition> positions;
+  WatchRole role = WatchRole::kNone;
 };
 
 class EmptyDecoder final : public CatalogDecoder
@@ -64,6 +68,8 @@
 
   std::uint16_t Port() const { return ports_.Port(0); }
 
+  bool WatchesStore() const { return source_.role != WatchRole::kNone; }
+
   bool HasReached(Revision aRevision) const
   {
     return !source_.positions.empty() &&
@@ -71,14 +77,14 @@
   }
 
   /**
-   * Runs until the host has reached aRevision, and calls aEachStep each 10 ms
-   * with the time since the call. Returns that time, at most 4 s.
+   * Runs until aCondition holds, and calls aEachStep each 10 ms with the time
+   * since the call. Returns that time, at most 4 s.
    */
-  template<class Step>
-  milliseconds RunUntilReached(Revision aRevision, Step aEachStep)
+  template<class Condition, class Step>
+  milliseconds RunUntil(Condition aCondition, Step aEachStep)
   {
     milliseconds elapsed{ 0 };
-    while (!HasReached(aRevision) && elapsed < milliseconds(4000)) {
+    while (!aCondition() && elapsed < milliseconds(4000)) {
       aEachStep(elapsed);
       context.restart();
       context.run_for(milliseconds(10));
@@ -87,13 +93,19 @@
     return elapsed;
   }
 
+  template<class Step>
+  milliseconds RunUntilReached(Revision aRevision, Step aEachStep)
+  {
+    return RunUntil([&] { return HasReached(aRevision); }, aEachStep);
+  }
+
   asio::io_context context;
   const MonotonicClock clock;
 
 private:
   const FreePorts ports_{ 1 };
   const EmptyDecoder decoder_;
-  UnusedSource source_;
+  SilentSource source_;
   SnapshotCell<FleetSnapshot> fleet_{ std::make_shared<const FleetSnapshot>() };
   SnapshotCell<LoadSnapshot> load_{ std::make_shared<const LoadSnapshot>() };
   std::unique_ptr<FleetControl> control_;
@@ -160,3 +172,31 @@
     });
   CHECK(took.count() <= kPullBound.count());
 }
+
+// Guards against a host that hears its peers and cannot reach them, as behind a
+// cut in one direction, and that keeps an old configuration (CONFIG) though it
+// reaches the store.
+TEST_CASE("fleet: a host that no peer answers watches the store itself")
+{
+  PullingHost host;
+  std::vector<std::unique_ptr<CatalogPeer>> mute;
+  for (const char* name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+    mute.push_back(std::make_unique<CatalogPeer>(host.context, name));
+  }
+  const auto sendHeartbeats = [&](milliseconds aElapsed) {
+    if (IsDue(aElapsed, milliseconds(200))) {
+      for (const auto& peer : mute) {
+        peer->SendHeartbeat(host.Port());
+      }
+    }
+  };
+  const TimePoint settled = host.clock.Now() + milliseconds(1500);
+  host.RunUntil([&] { return host.clock.Now() > settled; }, sendHeartbeats);
+  REQUIRE_FALSE(host.WatchesStore());
+  for (const auto& peer : mute) {
+    peer->Learn(Revision(9));
+  }
+  const milliseconds took =
+    host.RunUntil([&] { return host.WatchesStore(); }, sendHeartbeats);
+  CHECK(took.count() <= kPullBound.count());
+}
