Find out soon whether a lost store is back, before claiming the watch

Cause: each host that noticed an outage of the store kept away from it for 8 s. In an outage of 0.8 s the watch passes through all hosts, so afterwards one host watched for all zones for up to 8 s, and when its zone was lost nobody did until the other zones gave it up 2.5 s later. After the 8 s a host claimed the watch without having reached the store. Change: a host that lost the store reads from it once a second if it would be elected otherwise (a serializable read, a tenth of a call), and claims the watch when that succeeds. Until then its successor goes on.

--- a/src/fleet/CatalogSource.h
+++ b/src/fleet/CatalogSource.h
@@ -27,7 +27,8 @@
     std::function<void(CatalogKind, const CatalogChanges&)> onChanges;
     /**
      * The store was found to be reachable (true) or unreachable (false), for
-     * the first time since watching began or otherwise than before.
+     * the first time since watching began, otherwise than before, or by
+     * TryReach.
      */
     std::function<void(bool)> onReachable;
   };
@@ -56,6 +57,13 @@
    */
   virtual void ReadOnce() = 0;
 
+  /**
+   * Reads from the store once, by the cheapest kind of read, to learn whether
+   * it is reachable. Does nothing while this host watches the store or an
+   * earlier such read is running.
+   */
+  virtual void TryReach() = 0;
+
   /**
    * Reports the positions that peers have reached. A watch that stays behind
    * them is treated as failed.
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -296,6 +296,9 @@
       }
       source.Follow(election.Role(), catalog.Positions());
     }
+    if (election.TakeTrial(*peers, leaving)) {
+      source.TryReach();
+    }
   }
 
   void OnMembership()
--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -19,9 +19,10 @@
 // Joins of later hosts no longer hold up the election then. At the first start
 // of a deployment all hosts wait this long, since some hear nobody for a while.
 constexpr Duration kMaxWait = std::chrono::milliseconds(2000);
-// A host that could not reach the store is not chosen again to watch it for
-// this long, unless no host can reach it.
-constexpr Duration kStoreRetryDelay = std::chrono::seconds(8);
+// A host that lost the store tries it again after this time, before it is
+// elected, so that the watcher in its place goes on if the store still shuts it
+// out. After a pause of 8 s an outage of all zones left a single watcher.
+constexpr Duration kTrialPeriod = std::chrono::seconds(1);
 // A host that has not got a change from its peers for this long is probably cut
 // off from them. Pulls that fail cost some 150 ms each.
 constexpr Duration kMaxBehind = std::chrono::milliseconds(500);
@@ -55,9 +56,6 @@
   if (now < std::min(std::max(heard, settled), startedAt_ + kMaxWait)) {
     return false;
   }
-  if (!storeOk_ && role_ == WatchRole::kNone && now >= storeRetryAt_) {
-    storeOk_ = true;
-  }
   const std::vector<ZoneId> otherZones = aPeers.ZonesReachingStore();
   std::vector<OwnerCandidate> hosts = HostsReachingStore(aPeers, aLeaving);
   if (hosts.empty() && otherZones.empty()) {
@@ -83,10 +81,26 @@
   return true;
 }
 
+bool WatchElection::TakeTrial(const PeerExchange& aPeers, bool aLeaving)
+{
+  const TimePoint now = clock_.Now();
+  if (storeOk_ || aLeaving || role_ != WatchRole::kNone || now < trialAt_) {
+    return false;
+  }
+  std::vector<OwnerCandidate> hosts = HostsReachingStore(aPeers, aLeaving);
+  hosts.push_back(self_);
+  if (WatchRoleOf(self_, hosts, aPeers.ZonesReachingStore()) ==
+      WatchRole::kNone) {
+    return false;
+  }
+  trialAt_ = now + kTrialPeriod;
+  return true;
+}
+
 bool WatchElection::OnReachable(bool aReachable)
 {
   if (!aReachable) {
-    storeRetryAt_ = clock_.Now() + kStoreRetryDelay;
+    trialAt_ = clock_.Now() + kTrialPeriod;
   }
   if (std::exchange(storeOk_, aReachable) == aReachable) {
     return false;
--- a/src/fleet/WatchElection.h
+++ b/src/fleet/WatchElection.h
@@ -25,6 +25,12 @@
    */
   bool Update(const PeerExchange& aPeers, bool aLeaving, Duration aBehind);
 
+  /**
+   * Whether this host, which lost the store, should find out now if it is back.
+   * True at most once a second, and only if the host would be elected then.
+   */
+  bool TakeTrial(const PeerExchange& aPeers, bool aLeaving);
+
   /**
    * Notes that the store is reachable or unreachable from this host. Returns
    * whether that has changed.
@@ -42,7 +48,8 @@
   const OwnerCandidate self_;
   const bool firstStart_;
   const TimePoint startedAt_;
-  TimePoint storeRetryAt_;
+  /** When a host that lost the store may try it again. */
+  TimePoint trialAt_;
   /** Until then this host watches even if others are elected. */
   TimePoint watchesItselfUntil_;
   WatchRole role_ = WatchRole::kNone;
--- a/tests/FleetControlTest.cpp
+++ b/tests/FleetControlTest.cpp
@@ -26,6 +26,7 @@
     watches += aRole == WatchRole::kNone ? 0 : 1;
   }
   void ReadOnce() override { ++reads; }
+  void TryReach() override {}
   void NotePositions(const std::vector<StorePosition>&) override {}
   void RegisterHost(const PeerAddress&, DoneHandler aHandler) override
   {
--- a/tests/HostDirectoryTest.cpp
+++ b/tests/HostDirectoryTest.cpp
@@ -14,6 +14,7 @@
   void SetEvents(Events) override {}
   void Follow(WatchRole, const std::vector<StorePosition>&) override {}
   void ReadOnce() override {}
+  void TryReach() override {}
   void NotePositions(const std::vector<StorePosition>&) override {}
   void RegisterHost(const PeerAddress&, DoneHandler aHandler) override
   {
--- a/tests/RolloutFleetTest.cpp
+++ b/tests/RolloutFleetTest.cpp
@@ -26,6 +26,7 @@
   void SetEvents(Events aEvents) override { events = std::move(aEvents); }
   void Follow(WatchRole, const std::vector<StorePosition>&) override {}
   void ReadOnce() override {}
+  void TryReach() override {}
   void NotePositions(const std::vector<StorePosition>&) override {}
   void RegisterHost(const PeerAddress&, DoneHandler) override {}
   void ListHosts(ListHandler) override {}
--- a/tests/support/PullingHost.h
+++ b/tests/support/PullingHost.h
@@ -94,7 +94,7 @@
 private:
   const FreePorts ports_{ 1 };
   const EmptyDecoder decoder_;
-  SilentSource source_;
+  SilentSource source_{ context };
   SnapshotCell<FleetSnapshot> fleet_{ std::make_shared<const FleetSnapshot>() };
   SnapshotCell<LoadSnapshot> load_{ std::make_shared<const LoadSnapshot>() };
   std::unique_ptr<FleetControl> control_;
--- a/tests/support/SilentSource.h
+++ b/tests/support/SilentSource.h
@@ -3,6 +3,9 @@
 
 #include "fleet/CatalogSource.h"
 
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
 #include <utility>
 #include <vector>
 
@@ -12,6 +15,11 @@
 class SilentSource final : public CatalogSource
 {
 public:
+  explicit SilentSource(asio::io_context& aContext)
+    : context_(aContext)
+  {
+  }
+
   void SetEvents(Events aEvents) override { events = std::move(aEvents); }
   void Follow(WatchRole aRole, const std::vector<StorePosition>&) override
   {
@@ -23,13 +31,19 @@
     positions = aPositions;
   }
   /** The store answers a single read, but tells of no change. */
-  void TryReach() { events.onReachable(true); }
+  void TryReach() override
+  {
+    asio::post(context_, [this] { events.onReachable(true); });
+  }
   void RegisterHost(const PeerAddress&, DoneHandler) override {}
   void ListHosts(ListHandler) override {}
 
   Events events;
   std::vector<StorePosition> positions;
   WatchRole role = WatchRole::kNone;
+
+private:
+  asio::io_context& context_;
 };
 
 } // namespace lacewing
