Take the watch over from zones that fell silent within 1.7 s

Cause: whether another zone watches the store was taken from its last digest for 2.5 s, the time after which a zone loses its tasks. A change must be in force 2 s after its acknowledgement. Change: a zone counts as watching while its digest is younger than two periods of digests, one of heartbeats and 200 ms: 1.4 s in zones of up to 16 other hosts. Tasks are still kept for 2.5 s.

--- a/src/fleet/PeerExchange.cpp
+++ b/src/fleet/PeerExchange.cpp
@@ -21,6 +21,12 @@
 // Period of digests between zones, kept long because traffic between zones is
 // charged.
 constexpr Duration kDigestPeriod = std::chrono::milliseconds(500);
+// A zone of which two digests in a row are missing does not count as watching
+// the store. This is sooner than it loses its tasks (ZoneTable), since a change
+// must be in force 2 s after its acknowledgement; a watcher too many costs some
+// calls to the store. Within a zone, digests come with heartbeats.
+constexpr Duration kMissingDigests = 2 * kDigestPeriod;
+constexpr Duration kDigestDelay = std::chrono::milliseconds(200);
 // Period of digests that go to all known hosts of other zones.
 constexpr Duration kFullDigestPeriod = std::chrono::seconds(10);
 // Seeds may start later than this host. Each is contacted until it responds or
@@ -509,9 +515,11 @@
 
 std::vector<ZoneId> PeerExchange::ZonesReachingStore() const
 {
+  const Duration maxAge =
+    kMissingDigests + impl_->zonePeers.HeartbeatPeriod() + kDigestDelay;
   std::vector<ZoneId> reaching;
   for (const ZoneDigest& digest : impl_->zones.Fresh(impl_->clock.Now())) {
-    if (digest.reachesStore && digest.alive > 0) {
+    if (digest.reachesStore && digest.alive > 0 && digest.age < maxAge) {
       reaching.push_back(digest.zone);
     }
   }
