--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -423,3 +423,40 @@
   CHECK(listed.at(0).host == self.host);
   CHECK(listed.at(0).port == self.port);
 }
+
+// Guards against a host that lost the store and cannot find out whether it is
+// back unless it watches the store, or that watches it by asking.
+TEST_CASE("platform store: a single read tells whether the store is back")
+{
+  Fixture fix;
+  fix.store.SetFault(StoreFault::kBusy);
+  fix.client.TryReach();
+  CHECK(RunUntil(fix.context, [&] { return fix.reachable == false; }));
+  fix.store.SetFault(StoreFault::kNone);
+  const auto before = fix.store.Calls();
+  fix.client.TryReach();
+  CHECK(RunUntil(fix.context, [&] { return fix.reachable == true; }));
+  fix.RunFor(std::chrono::milliseconds(1000));
+  CHECK(fix.store.Calls() - before == 1);
+}
+
+// Guards against a change that a standby watcher reads 1 s late since another
+// one came right before it; the primary may be gone by then (CONFIG).
+TEST_CASE("platform store: a standby reads the next configuration within 0.6 s")
+{
+  Fixture fix;
+  fix.client.Follow(WatchRole::kStandby, {});
+  const auto versionRead = [&](int aVersion) {
+    const auto& read = fix.replica.ObjectsOf(CatalogKind::kConfiguration);
+    const auto main = read.find("main");
+    return main != read.end() &&
+           main->second.body.find(std::to_string(aVersion)) !=
+             std::string::npos;
+  };
+  fix.RunFor(std::chrono::milliseconds(200));
+  fix.store.Put("config", "main", { { "version", 1001 } });
+  REQUIRE(RunUntil(fix.context, [&] { return versionRead(1001); }));
+  fix.store.Put("config", "main", { { "version", 1002 } });
+  fix.RunFor(std::chrono::milliseconds(600));
+  CHECK(versionRead(1002));
+}
