Pass a pulled configuration on to other zones at once

Cause: a speaker that got a configuration from a peer of its zone told other zones with its next digest, up to 0.5 s later. Zones without a watcher, or whose watcher is gone, wait for it. Change: the speaker sends a digest at once. Other kinds of objects wait for the next digest as before, since traffic between zones is charged.

--- a/src/fleet/CatalogSync.cpp
+++ b/src/fleet/CatalogSync.cpp
@@ -89,14 +89,17 @@
   if (aResponse) {
     const std::vector<StorePosition> before = Positions();
     const std::vector<CatalogChanges>& parts = aResponse.value().parts;
-    bool changed = false;
+    PulledChanges pulled;
     for (const CatalogKind kind : kinds_) {
-      if (IndexOf(kind) < parts.size()) {
-        changed |= replica_.Apply(kind, parts[IndexOf(kind)]);
+      if (IndexOf(kind) < parts.size() &&
+          replica_.Apply(kind, parts[IndexOf(kind)])) {
+        pulled.objects = true;
+        pulled.configuration |= kind == CatalogKind::kConfiguration;
       }
     }
+    pulled.positions = Positions() != before;
     progress_.NoteReached(Positions(), aPeer.host.value(), clock_.Now());
-    handler_(aPeer, changed, Positions() != before);
+    handler_(aPeer, pulled);
   }
   BeginPulls();
 }
--- a/src/fleet/CatalogSync.h
+++ b/src/fleet/CatalogSync.h
@@ -8,6 +8,7 @@
 #include "fleet/CatalogPuller.h"
 #include "fleet/PeerAddress.h"
 #include "fleet/PullPlan.h"
+#include "fleet/PulledChanges.h"
 #include "lacewing/Clock.h"
 
 #include <asio/io_context.hpp>
@@ -26,12 +27,8 @@
 class CatalogSync
 {
 public:
-  /**
-   * Called after each pull that brought a response, with the peer and whether
-   * the replica's objects have changed, its positions, or both.
-   */
-  using Handler = std::function<
-    void(const PeerAddress& aPeer, bool aChanged, bool aAdvanced)>;
+  /** Called after each pull that brought a response. */
+  using Handler = std::function<void(const PeerAddress&, const PulledChanges&)>;
 
   CatalogSync(asio::io_context& aContext,
               const Clock& aClock,
--- a/src/fleet/FleetControl.cpp
+++ b/src/fleet/FleetControl.cpp
@@ -112,8 +112,8 @@
     , catalog(aContext,
               aClock,
               FollowedKinds(aOptions.rollouts.has_value()),
-              [this](const PeerAddress& aPeer, bool aChanged, bool aAdvanced) {
-                OnPulled(aPeer, aChanged, aAdvanced);
+              [this](const PeerAddress& aPeer, const PulledChanges& aChanges) {
+                OnPulled(aPeer, aChanges);
               })
     , targetManager(
         aContext,
@@ -219,13 +219,18 @@
     }
   }
 
-  void OnPulled(const PeerAddress& aPeer, bool aChanged, bool aAdvanced)
+  void OnPulled(const PeerAddress& aPeer, const PulledChanges& aChanges)
   {
-    OnCatalog(aChanged, aPeer.host.value());
+    OnCatalog(aChanges.objects, aPeer.host.value());
     source.NotePositions(catalog.Positions());
-    if (aAdvanced && peers->IsSpeaker()) {
+    if (aChanges.positions && peers->IsSpeaker()) {
       peers->SendZoneHeartbeats(targetManager.OwnReadings());
     }
+    // Other zones may have no watcher. Other changes wait for the next digest,
+    // because traffic between zones is charged.
+    if (aChanges.configuration && aPeer.zone == identity.self.zone) {
+      peers->SendZoneDigest();
+    }
   }
 
   void OnStoreChanges(CatalogKind aKind, const CatalogChanges& aChanges)
--- a/tests/CatalogPullTest.cpp
+++ b/tests/CatalogPullTest.cpp
@@ -93,3 +93,32 @@
     host.RunUntil([&] { return host.WatchesStore(); }, sendHeartbeats);
   CHECK(took.count() <= kPullBound.count());
 }
+
+// Guards against a change that waits up to 0.5 s for the next digest on its way
+// to zones without a watcher, since the speaker got it from a peer.
+TEST_CASE("fleet: a speaker passes a change on to other zones at once")
+{
+  PullingHost host;
+  CatalogPeer watcher(host.context, "a");
+  watcher.Serve();
+  CatalogPeer remote(host.context, "s", "y");
+  remote.zones.resize(1);
+  remote.zones[0].zone = ZoneId("y");
+  const auto speak = [&](milliseconds aElapsed) {
+    if (IsDue(aElapsed, milliseconds(200))) {
+      watcher.SendHeartbeat(host.Port());
+      remote.SendHeartbeat(host.Port());
+    }
+  };
+  for (const Revision revision : { Revision(9), Revision(19), Revision(29) }) {
+    const TimePoint settled = host.clock.Now() + milliseconds(650);
+    host.RunUntil([&] { return host.clock.Now() > settled; }, speak);
+    watcher.Learn(revision);
+    watcher.SendHeartbeat(host.Port());
+    const auto told = [&] {
+      remote.ReadDatagrams();
+      return !remote.heard.empty() && remote.heard[0].revision == revision;
+    };
+    CHECK(host.RunUntil(told, speak).count() <= 200);
+  }
+}
--- a/tests/support/CatalogPeer.h
+++ b/tests/support/CatalogPeer.h
@@ -11,6 +11,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <utility>
@@ -35,6 +36,24 @@
                 "127.0.0.1",
                 acceptor_.local_endpoint().port() }
   {
+    socket_.non_blocking(true);
+  }
+
+  /** Reads the datagrams that have arrived since the last call. */
+  void ReadDatagrams()
+  {
+    std::array<char, 2048> bytes{};
+    asio::error_code error;
+    for (;;) {
+      const std::size_t size = socket_.receive(asio::buffer(bytes), 0, error);
+      if (error) {
+        return;
+      }
+      const auto heartbeat = DecodeHeartbeat({ bytes.data(), size });
+      if (heartbeat) {
+        heard = heartbeat.value().positions;
+      }
+    }
   }
 
   /** Answers pulls from now on. */
@@ -80,12 +99,16 @@
 
   /** What a speaker of another zone says of its zone. */
   std::vector<ZoneDigest> zones;
+  /** The positions in the last datagram. */
+  std::vector<StorePosition> heard;
   int pulls = 0;
 
 private:
   asio::io_context& context_;
   asio::ip::tcp::acceptor acceptor_;
-  asio::ip::udp::socket socket_{ context_, asio::ip::udp::v4() };
+  asio::ip::udp::socket socket_{ context_,
+                                 { asio::ip::address_v4::loopback(),
+                                   acceptor_.local_endpoint().port() } };
   CatalogPullServer pulls_;
   CatalogReplica replica_;
   const PeerAddress address_;
