Try a lost store again when no peer answers

Cause: a host that had lost the store tried it again only if it ranked above the watcher of its zone. One that is also cut off from its peers later kept an old configuration. Change: a host that is to watch the store itself tries it as well.

--- a/src/fleet/WatchElection.cpp
+++ b/src/fleet/WatchElection.cpp
@@ -89,8 +89,8 @@
   }
   std::vector<OwnerCandidate> hosts = HostsReachingStore(aPeers, aLeaving);
   hosts.push_back(self_);
-  if (WatchRoleOf(self_, hosts, aPeers.ZonesReachingStore()) ==
-      WatchRole::kNone) {
+  const WatchRole role = WatchRoleOf(self_, hosts, aPeers.ZonesReachingStore());
+  if (role == WatchRole::kNone && now >= watchesItselfUntil_) {
     return false;
   }
   trialAt_ = now + kTrialPeriod;
--- a/src/fleet/WatchElection.h
+++ b/src/fleet/WatchElection.h
@@ -27,7 +27,7 @@
 
   /**
    * Whether this host, which lost the store, should find out now if it is back.
-   * True at most once a second, and only if the host would be elected then.
+   * True at most once a second, and only if the host would watch then.
    */
   bool TakeTrial(const PeerExchange& aPeers, bool aLeaving);
 
--- a/tests/CatalogPullTest.cpp
+++ b/tests/CatalogPullTest.cpp
@@ -68,30 +68,37 @@
 
 // Guards against a host that hears its peers and cannot reach them, as behind a
 // cut in one direction, and that keeps an old configuration (CONFIG) though it
-// reaches the store.
+// reaches the store, or reaches it again after an outage.
 TEST_CASE("fleet: a host that no peer answers watches the store itself")
 {
-  PullingHost host;
-  std::vector<std::unique_ptr<CatalogPeer>> mute;
-  for (const char* name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
-    mute.push_back(std::make_unique<CatalogPeer>(host.context, name));
-  }
-  const auto sendHeartbeats = [&](milliseconds aElapsed) {
-    if (IsDue(aElapsed, milliseconds(200))) {
-      for (const auto& peer : mute) {
-        peer->SendHeartbeat(host.Port());
+  for (const bool hadLostStore : { false, true }) {
+    CAPTURE(hadLostStore);
+    PullingHost host;
+    std::vector<std::unique_ptr<CatalogPeer>> mute;
+    for (const char* name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+      mute.push_back(std::make_unique<CatalogPeer>(host.context, name));
+    }
+    const auto sendHeartbeats = [&](milliseconds aElapsed) {
+      if (IsDue(aElapsed, milliseconds(200))) {
+        for (const auto& peer : mute) {
+          peer->SendHeartbeat(host.Port());
+        }
       }
+    };
+    const TimePoint settled = host.clock.Now() + milliseconds(1500);
+    host.RunUntil([&] { return host.clock.Now() > settled; }, sendHeartbeats);
+    REQUIRE_FALSE(host.WatchesStore());
+    if (hadLostStore) {
+      host.Source().events.onReachable(false);
     }
-  };
-  const TimePoint settled = host.clock.Now() + milliseconds(1500);
-  host.RunUntil([&] { return host.clock.Now() > settled; }, sendHeartbeats);
-  REQUIRE_FALSE(host.WatchesStore());
-  for (const auto& peer : mute) {
-    peer->Learn(Revision(9));
+    for (const auto& peer : mute) {
+      peer->Learn(Revision(9));
+    }
+    const milliseconds took =
+      host.RunUntil([&] { return host.WatchesStore(); }, sendHeartbeats);
+    // A store that was lost is tried again after 1 s.
+    CHECK(took.count() <= (hadLostStore ? 1400 : kPullBound.count()));
   }
-  const milliseconds took =
-    host.RunUntil([&] { return host.WatchesStore(); }, sendHeartbeats);
-  CHECK(took.count() <= kPullBound.count());
 }
 
 // Guards against a change that waits up to 0.5 s for the next digest on its way
