Compare positions of the catalog in one place

Cause: CatalogProgress and PullPlan had each written the same comparison. Change: PositionOrder.h has it. No change of behavior.

--- a/src/fleet/CatalogProgress.cpp
+++ b/src/fleet/CatalogProgress.cpp
@@ -1,9 +1,7 @@
 #include "fleet/CatalogProgress.h"
 
 #include "core/Log.h"
-
-#include <algorithm>
-#include <cstddef>
+#include "fleet/PositionOrder.h"
 
 namespace lacewing {
 
@@ -19,18 +17,6 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
-bool HasReached(const std::vector<StorePosition>& aPositions,
-                const std::vector<StorePosition>& aAwaited)
-{
-  const std::size_t kinds = std::min(aPositions.size(), aAwaited.size());
-  for (std::size_t kind = 0; kind < kinds; ++kind) {
-    if (aPositions[kind] < aAwaited[kind]) {
-      return false;
-    }
-  }
-  return true;
-}
-
 } // namespace
 
 void CatalogProgress::NoteBehind(const std::string& aPeer,
@@ -49,7 +35,7 @@
                                   const std::string& aFrom,
                                   TimePoint aNow)
 {
-  if (!behindSince_ || !HasReached(aPositions, awaited_)) {
+  if (!behindSince_ || IsAhead(awaited_, aPositions)) {
     return;
   }
   const Duration behind = aNow - *behindSince_;
--- a/src/fleet/CatalogProgress.h
+++ b/src/fleet/CatalogProgress.h
@@ -26,8 +26,8 @@
                   TimePoint aNow);
 
   /**
-   * This host has reached aPositions. aFrom is "store" or the address of the
-   * peer that the changes came from.
+   * This host has reached aPositions. aFrom is "store" or the name of the peer
+   * that the changes came from.
    */
   void NoteReached(const std::vector<StorePosition>& aPositions,
                    const std::string& aFrom,
--- a/src/fleet/CatalogSync.cpp
+++ b/src/fleet/CatalogSync.cpp
@@ -1,5 +1,7 @@
 #include "fleet/CatalogSync.h"
 
+#include "fleet/PositionOrder.h"
+
 #include <algorithm>
 #include <utility>
 
--- a/src/fleet/PullPlan.cpp
+++ b/src/fleet/PullPlan.cpp
@@ -1,6 +1,7 @@
 #include "fleet/PullPlan.h"
 
-#include <algorithm>
+#include "fleet/PositionOrder.h"
+
 #include <tuple>
 
 namespace lacewing {
@@ -17,18 +18,6 @@
 
 } // namespace
 
-bool IsAhead(const std::vector<StorePosition>& aPositions,
-             const std::vector<StorePosition>& aReached)
-{
-  const std::size_t kinds = std::min(aPositions.size(), aReached.size());
-  for (std::size_t kind = 0; kind < kinds; ++kind) {
-    if (aPositions[kind] > aReached[kind]) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void PullPlan::NotePeer(const PeerAddress& aPeer,
                         const std::vector<StorePosition>& aPositions,
                         TimePoint aNow)
--- a/src/fleet/PullPlan.h
+++ b/src/fleet/PullPlan.h
@@ -12,11 +12,6 @@
 
 namespace lacewing {
 
-/** Whether any of aPositions, by CatalogKind, is later than that of aReached.
- */
-bool IsAhead(const std::vector<StorePosition>& aPositions,
-             const std::vector<StorePosition>& aReached);
-
 /**
  * Decides from which peers to pull changes of the catalog, and when. A peer
  * that does not answer costs kPatience and no more: then another one is asked
