--- a/review/lab/Lab.cpp
+++ b/review/lab/Lab.cpp
@@ -344,8 +344,9 @@
   }
 }
 
-Store::Store(const Address& aAddress)
+Store::Store(const Address& aAddress, std::size_t aPage)
   : address_(aAddress)
+  , page_(aPage)
 {
   listener_ = std::make_unique<Listener>(
     aAddress, [this](const auto& aStream) { Serve(aStream); });
@@ -405,7 +406,6 @@
 
 std::string Store::Answer(const Message& aRequest)
 {
-  ++calls_;
   const std::string target = aRequest.Target();
   const std::string prefix = "/-/objects/";
   const std::string path = target.substr(0, target.find('?'));
@@ -438,20 +438,37 @@
       std::strtoull(watch.c_str(), nullptr, 10),
       Milliseconds(std::atoi(QueryValue(target, "wait_ms").c_str())));
   }
-  return List(kind);
+  return List(kind, QueryValue(target, "after"));
 }
 
-std::string Store::List(const std::string& aKind)
+std::string Store::List(const std::string& aKind, const std::string& aAfter)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::string items;
+  std::size_t count = 0;
+  bool more = false;
   for (const auto& [name, object] : objects_[aKind]) {
+    if (name <= aAfter) {
+      continue;
+    }
+    if (count == page_) {
+      more = true;
+      break;
+    }
+    ++count;
     items += (items.empty() ? "" : ",") + ObjectText(name, object);
   }
-  return Json(R"({"items":[)" + items + R"(],"more":false,"store_revision":)" +
+  return Json(R"({"items":[)" + items + R"(],"more":)" +
+              (more ? "true" : "false") + R"(,"store_revision":)" +
               std::to_string(revision_) + "}");
 }
 
+std::size_t Store::Count(const std::string& aKind)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return objects_[aKind].size();
+}
+
 std::string Store::Watch(const std::string& aKind,
                          std::uint64_t aSince,
                          Milliseconds aWait)
--- a/review/lab/Lab.h
+++ b/review/lab/Lab.h
@@ -128,7 +128,8 @@
 class Store
 {
 public:
-  explicit Store(const Address& aAddress);
+  /** A list has at most aPage objects. */
+  explicit Store(const Address& aAddress, std::size_t aPage = 500);
 
   const Address& Where() const { return address_; }
   /** Creates or replaces an object; returns its revision. */
@@ -136,7 +137,7 @@
                     const std::string& aName,
                     const std::string& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
-  std::size_t Calls() const { return calls_; }
+  std::size_t Count(const std::string& aKind);
 
 private:
   struct Object
@@ -157,7 +158,7 @@
 
   void Serve(const std::shared_ptr<Stream>& aStream);
   std::string Answer(const Message& aRequest);
-  std::string List(const std::string& aKind);
+  std::string List(const std::string& aKind, const std::string& aAfter);
   std::string Watch(const std::string& aKind,
                     std::uint64_t aSince,
                     Milliseconds aWait);
@@ -165,12 +166,12 @@
                                 const Object& aObject);
 
   const Address address_;
+  const std::size_t page_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t revision_ = 100;
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::vector<Event> events_;
-  std::atomic<std::size_t> calls_{ 0 };
   std::atomic<bool> stopped_{ false };
   std::unique_ptr<Listener> listener_;
 
