--- a/review/lab/TenantLoad.cpp
+++ b/review/lab/TenantLoad.cpp
@@ -105,7 +105,8 @@
   Attempt attempt;
   attempt.until = nextRequest_ + kTimeLimitMs / 1000.0;
   attempt.retriesLeft = kRetries;
-  attempt.consumer = count_++ * 7;
+  // Fibonacci hashing, so that the consumers' requests spread over the hosts.
+  attempt.consumer = count_++ * 2654435761U % 4294967296U >> 16U;
   const double due = nextRequest_;
   nextRequest_ += 1 / demand_;
   return std::make_pair(due, attempt);
