--- a/review/lab/Lab.cpp
+++ b/review/lab/Lab.cpp
@@ -1,5 +1,6 @@
 #include "Lab.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdio>
@@ -160,19 +161,13 @@
            : line.substr(first + 1, second - first - 1);
 }
 
-std::unique_ptr<Stream> Stream::Connect(const Address& aTo,
-                                        double aTimeout,
-                                        const std::string& aFromIp)
+std::unique_ptr<Stream> Stream::Connect(const Address& aTo, double aTimeout)
 {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0) {
     return nullptr;
   }
   auto stream = std::make_unique<Stream>(fd);
-  if (!aFromIp.empty()) {
-    const sockaddr_in from = SocketAddress({ aFromIp, 0 });
-    bind(fd, reinterpret_cast<const sockaddr*>(&from), sizeof from);
-  }
   const int one = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   fcntl(fd, F_SETFL, O_NONBLOCK);
@@ -268,18 +263,6 @@
   return message;
 }
 
-void Stream::ShutdownSend()
-{
-  shutdown(fd_, SHUT_WR);
-}
-
-void Stream::Reset()
-{
-  const linger now{ 1, 0 };
-  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-  Close();
-}
-
 void Stream::Close()
 {
   if (fd_ >= 0) {
@@ -553,9 +536,6 @@
       continue;
     }
     Record::Line("server " + options_.id + " runs " + arrival.id);
-    if (special && special(*aStream, *request)) {
-      continue;
-    }
     ++running_;
     SleepFor(work_);
     --running_;
@@ -724,14 +704,11 @@
   return bytes + "\r\n" + aBody;
 }
 
-Outcome Send(const Address& aTo,
-             const std::string& aBytes,
-             double aTimeout,
-             const std::string& aFromIp)
+Outcome Send(const Address& aTo, const std::string& aBytes, double aTimeout)
 {
   Outcome outcome;
   outcome.sentAt = Now();
-  const auto stream = Stream::Connect(aTo, std::min(aTimeout, 1.0), aFromIp);
+  const auto stream = Stream::Connect(aTo, std::min(aTimeout, 1.0));
   if (!stream) {
     outcome.detail = "no connection";
   } else if (!stream->Send(aBytes)) {
--- a/review/lab/Lab.h
+++ b/review/lab/Lab.h
@@ -77,18 +77,13 @@
   Stream& operator=(const Stream&) = delete;
 
   /** Null if the connection cannot be opened in time. */
-  static std::unique_ptr<Stream> Connect(const Address& aTo,
-                                         double aTimeout,
-                                         const std::string& aFromIp = {});
+  static std::unique_ptr<Stream> Connect(const Address& aTo, double aTimeout);
 
   bool Send(const std::string& aBytes);
   /** Empty at the end of the connection, on an error or after the timeout. */
   std::optional<Message> Read(double aTimeout);
   /** Whether the last Read ended because the peer closed or reset. */
   bool Ended() const { return ended_; }
-  void ShutdownSend();
-  /** Closes with a reset. */
-  void Reset();
   void Close();
   int Fd() const { return fd_; }
 
@@ -130,6 +125,9 @@
 public:
   /** A list has at most aPage objects. */
   explicit Store(const Address& aAddress, std::size_t aPage = 500);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
 
   const Address& Where() const { return address_; }
   /** Creates or replaces an object; returns its revision. */
@@ -174,9 +172,6 @@
   std::vector<Event> events_;
   std::atomic<bool> stopped_{ false };
   std::unique_ptr<Listener> listener_;
-
-public:
-  ~Store();
 };
 
 /** One arrival of a request at a server. */
@@ -218,9 +213,6 @@
   /** Ends the server: its connections break off. */
   void Exit() { listener_->Shut(); }
 
-  /** Replaces the usual answer: returns true if it has handled it. */
-  std::function<bool(Stream&, const Message&)> special;
-
 private:
   void Serve(const std::shared_ptr<Stream>& aStream);
 
@@ -297,10 +289,7 @@
                          const std::string& aFields = {});
 
 /** Sends a request on a connection of its own. */
-Outcome Send(const Address& aTo,
-             const std::string& aBytes,
-             double aTimeout,
-             const std::string& aFromIp = {});
+Outcome Send(const Address& aTo, const std::string& aBytes, double aTimeout);
 
 /** Whether the file has a line with all of these texts after aAfter bytes. */
 bool HasLine(const std::string& aFile, const std::vector<std::string>& aTexts);
