--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 # Needs the build of deploy/system.toml and review/build-2.sh. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-2/Isolated
+program=target/review-2/StaleSeeds
 [ -x "$program" ] && [ -x target/bin/lacewing-hostd ] || exit 2
 folder=$(mktemp -d)
 finish() {
