Review: a machine with stale seeds holds a tenant's bucket of its own (QUOTA)

Cause: hosts that were found in the store are not greeted, so the new host knows only those that are listed, and only these know it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,6 +10,6 @@
 for source in review/lab/*.cpp; do
   compile "$(basename "$source" .cpp)"
 done
-for program in Quota LateReport Isolated Island; do
+for program in Quota LateReport Isolated Island StaleSeeds; do
   g++ -pthread "$folder/$program.o" "$folder/Lab.o" "$folder/TenantLoad.o" -o "$folder/$program"
 done
