Do not take a reset during an upload for the end of an answer

Callers got a part of an answer as a complete 200: a target answered a long upload without a length, sent some bytes and reset the connection while the upload was still being written.

Cause: Linux reports a reset once. HttpConnection reads and writes at the same time; when the write gets ECONNRESET first, the next read returns the bytes that had arrived and then 0, as after an orderly close, and OnEnd() took the answer without a length as whole. Any error of the connection that a write gets first has this effect.

Change: OnEnd() asks whether the socket still has a peer. After a FIN it has one, after a reset or another failure it has none, whichever call got the error and whichever handler runs first. An answer whose connection failed is lost (502). If a reset has followed a FIN before the end is read, the answer counts as lost too, since it cannot be told apart.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -201,7 +201,8 @@
       Finish(ExchangeEnd::kNotSent, "write: " + aError.message());
       return;
     }
-    // The answer may already be on its way; reading decides.
+    // The answer may already be on its way; reading decides. The end of the
+    // connection does not: this error is no longer reported to a read.
     reusable = false;
   }
 
@@ -268,10 +269,27 @@
     }
   }
 
+  /**
+   * Whether the connection has failed instead of being closed by the peer. The
+   * kernel reports a reset once; after a write got it, a read finds an end as
+   * after an orderly close. But only a reset leaves the socket without a peer,
+   * whichever call got the error and whichever handler runs first.
+   */
+  bool Failed() const
+  {
+    asio::error_code error;
+    (void)socket.remote_endpoint(error);
+    return static_cast<bool>(error);
+  }
+
   /** The peer closed: only an answer without a length is whole now. */
   void OnEnd()
   {
     reusable = false;
+    if (Failed()) {
+      Finish(ExchangeEnd::kLost, "the connection was reset");
+      return;
+    }
     parser.FeedEnd();
     if (parser.Whole()) {
       const AnswerMatch match = Match();
--- a/tests/HttpConnectionTruncationTest.cpp
+++ b/tests/HttpConnectionTruncationTest.cpp
@@ -36,6 +36,36 @@
   return *end;
 }
 
+/**
+ * How an upload ends that is answered with aAnswer once its head is read. With
+ * aReadsBetween, ReadArrived() is called after each handler.
+ */
+ExchangeEnd EndOfUpload(const std::string& aAnswer, bool aReadsBetween)
+{
+  ScriptedTarget target([&](int, const std::string&) { return aAnswer; },
+                        ScriptedTarget::ReadsFirst::kHead);
+  asio::io_context context;
+  MonotonicClock clock;
+  ConnectionOptions options;
+  options.endpoint = target.Address();
+  HttpConnection connection(context, options, clock);
+  OutgoingRequest request;
+  request.head.method = "POST";
+  request.head.target = "/";
+  // More than the buffers of both sockets hold.
+  request.body = std::make_shared<const std::string>(8U << 20U, 'u');
+  std::optional<ExchangeEnd> end;
+  connection.Send(std::move(request),
+                  [&](const ExchangeResult& aResult) { end = aResult.end; });
+  while (!end) {
+    context.run_one();
+    if (aReadsBetween) {
+      connection.ReadArrived();
+    }
+  }
+  return *end;
+}
+
 } // namespace
 
 // Guards against an answer that a target stopped writing in the middle, framed
@@ -92,3 +122,36 @@
           ExchangeEnd::kLost);
   }
 }
+
+// Guards against a body without a length that is taken as whole because a write
+// was the first to report the reset: Linux then reads the end of the connection
+// like an orderly close. ReadArrived() reads the end before the write's handler
+// has run.
+TEST_CASE("http connection: a reset that a write has reported ends no body")
+{
+  const std::string answer = "HTTP/1.1 200 OK\r\nLacewing-Request-Id: r1\r\n"
+                             "\r\n0123456789";
+  for (const bool readsBetween : { false, true }) {
+    for (const char* marker :
+         { ScriptedTarget::kResetMarker, ScriptedTarget::kCloseMarker }) {
+      CAPTURE(readsBetween);
+      CAPTURE(*marker == *ScriptedTarget::kResetMarker);
+      for (int i = 0; i < 20; ++i) {
+        CHECK(EndOfUpload(answer + marker, readsBetween) == ExchangeEnd::kLost);
+      }
+    }
+  }
+}
+
+// Guards against a whole answer without a length that is refused because the
+// request is still being written.
+TEST_CASE("http connection: an orderly end during an upload ends a body")
+{
+  const std::string answer = "HTTP/1.1 200 OK\r\nLacewing-Request-Id: r1\r\n"
+                             "\r\n0123456789";
+  for (const bool readsBetween : { false, true }) {
+    CAPTURE(readsBetween);
+    CHECK(EndOfUpload(answer + ScriptedTarget::kEndMarker, readsBetween) ==
+          ExchangeEnd::kAnswered);
+  }
+}
--- a/tests/support/GatewayTarget.h
+++ b/tests/support/GatewayTarget.h
@@ -20,9 +20,12 @@
   using Script =
     std::function<std::string(const std::string& aId, int aRequestNumber)>;
 
-  explicit GatewayTarget(Script aScript)
+  explicit GatewayTarget(Script aScript,
+                         ScriptedTarget::ReadsFirst aReadsFirst =
+                           ScriptedTarget::ReadsFirst::kWholeRequest)
     : script_(std::move(aScript))
-    , target_([this](int, const std::string& aHead) { return Respond(aHead); })
+    , target_([this](int, const std::string& aHead) { return Respond(aHead); },
+              aReadsFirst)
   {
   }
 
--- a/tests/support/ScriptedTarget.h
+++ b/tests/support/ScriptedTarget.h
@@ -30,9 +30,18 @@
 public:
   using Script = std::function<std::string(int, const std::string&)>;
 
+  /** How much of a request is read before it is answered. */
+  enum class ReadsFirst
+  {
+    kWholeRequest,
+    /** The rest stays unread, so that a close resets the connection. */
+    kHead,
+  };
+
   static constexpr const char* kCloseMarker = "\x01";
   static constexpr const char* kDelayMarker = "\x02";
   static constexpr const char* kResetMarker = "\x03";
+  static constexpr const char* kEndMarker = "\x04";
 
   /** The header line with aRequest's id; empty if the request has no id. */
   static std::string RequestIdLine(const std::string& aRequest)
@@ -43,8 +52,10 @@
              : aRequest.substr(begin, aRequest.find("\n", begin) + 1 - begin);
   }
 
-  explicit ScriptedTarget(Script aScript)
+  explicit ScriptedTarget(Script aScript,
+                          ReadsFirst aReadsFirst = ReadsFirst::kWholeRequest)
     : script_(std::move(aScript))
+    , readsFirst_(aReadsFirst)
     , acceptor_(context_, { asio::ip::address_v4::loopback(), 0 })
   {
     Accept();
@@ -102,7 +113,7 @@
           return;
         }
         aSession->received.append(aSession->buffer.data(), aLength);
-        if (IsComplete(aSession->received)) {
+        if (MayAnswer(aSession->received)) {
           Respond(aSession, std::exchange(aSession->received, {}));
         } else {
           Read(aSession);
@@ -110,12 +121,15 @@
       });
   }
 
-  static bool IsComplete(const std::string& aRequest)
+  bool MayAnswer(const std::string& aRequest) const
   {
     const std::size_t end = aRequest.find("\r\n\r\n");
     if (end == std::string::npos) {
       return false;
     }
+    if (readsFirst_ == ReadsFirst::kHead) {
+      return true;
+    }
     const std::string field = "Content-Length: ";
     const std::size_t length = aRequest.find(field);
     return length > end ||
@@ -135,7 +149,9 @@
         response.compare(0, 5, "HTTP/") == 0 ? RequestIdLine(aRequest) : "");
     }
     const std::size_t resetAt = response.find(kResetMarker);
-    const std::size_t end = std::min(response.find(kCloseMarker), resetAt);
+    const std::size_t endAt = response.find(kEndMarker);
+    const std::size_t end =
+      std::min({ response.find(kCloseMarker), resetAt, endAt });
     const std::size_t delayAt = std::min(response.find(kDelayMarker), end);
     asio::error_code error;
     asio::write(
@@ -153,9 +169,25 @@
       aSession->socket.set_option(asio::socket_base::linger(true, 0), error);
       aSession->socket.close(error);
     }
+    if (endAt == end && end != std::string::npos) {
+      aSession->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+      Discard(aSession);
+    }
+  }
+
+  void Discard(const std::shared_ptr<Session>& aSession)
+  {
+    aSession->socket.async_read_some(
+      asio::buffer(aSession->buffer),
+      [this, aSession](const asio::error_code& aError, std::size_t) {
+        if (!aError) {
+          Discard(aSession);
+        }
+      });
   }
 
   Script script_;
+  const ReadsFirst readsFirst_;
   std::atomic<int> runs_{ 0 };
   std::atomic<int> connections_{ 0 };
   std::atomic<int> connection_{ 0 };
