Refuse answers with malformed field names or values

Callers got answers with a blank in the name of a field: "X Foo: a" and "X-Foo : a" as they were, "Content-Length : 5" and "Transfer-Encoding : chunked" beside the Content-Length of the host, so that the next reader might frame the body in another way, and "Content-Encoding : gzip" with a body that is not the target's.

Cause: http_parser, which Debian builds without its strict mode, takes blanks for characters of a name and skips them when it looks for the fields that frame the body. libcurl hands each line over unread, and CurlEasy took whatever stood in front of a colon and dropped lines without one, folded ones among them.

Change: IsFieldName() and IsFieldValue() decide for both readers what a field of an answer may hold: a token as the name, no control byte but tabs in the value. Any other line makes the answer malformed.

Evidence: the added cases of "gateway: a malformed answer does not reach the caller" failed for all five lines above (200 instead of 502), those of "http connection: ..." for 6 lines, those of "http client: ..." for 11, among them control bytes in names and values and a folded line. All pass now. Control bytes, quotes and bytes above 127 in names, empty names, lines without a colon and folded lines were refused by the gateway before; their cases stay.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -1,5 +1,6 @@
 #include "http/MessageParser.h"
 
+#include "http/FieldSyntax.h"
 #include "http/StatusLine.h"
 
 #include <http_parser.h>
@@ -75,8 +76,15 @@
     return -1;
   }
 
-  void EndField()
+  /** False if the field is malformed. */
+  bool EndField()
   {
+    // http_parser takes blanks in names, and a name with a blank behind it for
+    // the name itself: other readers would frame the message differently.
+    if (side == MessageSide::kAnswer &&
+        (!IsFieldName(fieldName) || !IsFieldValue(fieldValue))) {
+      return false;
+    }
     if (!fieldName.empty()) {
       message.head.fields.Add(std::move(fieldName), std::move(fieldValue));
     }
@@ -84,6 +92,7 @@
     fieldValue.clear();
     inValue = false;
     valueEnd = nullptr;
+    return true;
   }
 
   /**
@@ -119,8 +128,8 @@
 
   int OnFieldName(const char* aBytes, std::size_t aCount)
   {
-    if (inValue) {
-      EndField();
+    if (inValue && !EndField()) {
+      return Refuse(ParseFailure::kMalformed);
     }
     fieldName.append(aBytes, aCount);
     return 0;
@@ -139,8 +148,8 @@
 
   int OnHead()
   {
-    if (inValue || !fieldName.empty()) {
-      EndField();
+    if ((inValue || !fieldName.empty()) && !EndField()) {
+      return Refuse(ParseFailure::kMalformed);
     }
     headDone = true;
     // Stops in front of the line break that ends the head, which counts too.
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -1,5 +1,6 @@
 #include "net/CurlEasyPriv.h"
 
+#include "http/FieldSyntax.h"
 #include "http/StatusLine.h"
 
 #include <utility>
@@ -209,7 +210,7 @@
     }
     self.headDone_ = true;
   }
-  if (!self.AddLine(line)) {
+  if (!line.empty() && !self.AddLine(line)) {
     self.malformed_ = true;
     return 0;
   }
@@ -228,8 +229,9 @@
   }
   const std::size_t colon = aLine.find(':');
   if (colon == std::string_view::npos) {
-    return true;
+    return false;
   }
+  const std::string_view name = aLine.substr(0, colon);
   std::string_view value = aLine.substr(colon + 1);
   while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
     value.remove_prefix(1);
@@ -237,12 +239,15 @@
   while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
     value.remove_suffix(1);
   }
+  if (!IsFieldName(name) || !IsFieldValue(value)) {
+    return false;
+  }
   // As many as an ordinary answer has.
   constexpr std::size_t kUsualFields = 8;
   if (response_.fields.size() == 0) {
     response_.fields.Reserve(kUsualFields);
   }
-  response_.fields.Add(std::string(aLine.substr(0, colon)), std::string(value));
+  response_.fields.Add(std::string(name), std::string(value));
   return true;
 }
 
--- a/tests/support/MalformedAnswers.h
+++ b/tests/support/MalformedAnswers.h
@@ -22,6 +22,30 @@
     answers.push_back({ std::string("version ") + version,
                         std::string(version) + " 200 OK\r\n" + body });
   }
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& line : {
+         std::string("X Foo: a"),
+         std::string("X-Foo : a"),
+         std::string("X-Foo\t: a"),
+         std::string("X\x07Foo: a"),
+         std::string("X\0Foo: a", 8),
+         std::string("X\x7f: a"),
+         std::string("X\"Foo\": a"),
+         std::string("X\xe9: a"),
+         std::string(": a"),
+         std::string("X-Foo"),
+         std::string(" X-Foo: a"),
+         std::string("X-Foo: a\r\n b"),
+         std::string("X-Foo: a\x07"),
+         std::string("Content-Encoding : gzip"),
+       }) {
+    answers.push_back({ "field " + line, ok + line + "\r\n" + body });
+  }
+  answers.push_back(
+    { "blank behind Content-Length", ok + "Content-Length : 5\r\n\r\n01234" });
+  const std::string chunks = "\r\n5\r\n01234\r\n0\r\n\r\n";
+  answers.push_back({ "blank behind Transfer-Encoding",
+                      ok + "Transfer-Encoding : chunked\r\n" + chunks });
   return answers;
 }
 
