Do not take trailer fields for fields of the head

Callers got a 200 whose signature stood only in the trailer of a chunked answer, and a 503, which promises that the request was not run, because the trailer held the field that says so.

Cause: MessageParser added each field that http_parser reported to the head, the trailer's as well (the last one alone was dropped, since nothing ended it). CurlEasy did the same with the lines that libcurl hands over behind the body.

Change: fields behind the head are checked for their syntax and dropped (RFC 9110 section 6.5.1).

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -85,7 +85,8 @@
         (!IsFieldName(fieldName) || !IsFieldValue(fieldValue))) {
       return false;
     }
-    if (!fieldName.empty()) {
+    // A field of the trailer says nothing about the head (RFC 9110 6.5.1).
+    if (!fieldName.empty() && !headDone) {
       message.head.fields.Add(std::move(fieldName), std::move(fieldValue));
     }
     fieldName.clear();
@@ -95,6 +96,9 @@
     return true;
   }
 
+  /** Ends the last field of the head or of the trailer, if there is one. */
+  bool EndLastField() { return (!inValue && fieldName.empty()) || EndField(); }
+
   /**
    * Checks the status line, of which http_parser takes any number of digits and
    * any version. Fails as soon as the status is known not to be one.
@@ -148,7 +152,7 @@
 
   int OnHead()
   {
-    if ((inValue || !fieldName.empty()) && !EndField()) {
+    if (!EndLastField()) {
       return Refuse(ParseFailure::kMalformed);
     }
     headDone = true;
@@ -215,6 +219,9 @@
 
   int OnWhole()
   {
+    if (!EndLastField()) {
+      return Refuse(ParseFailure::kMalformed);
+    }
     whole = true;
     http_parser_pause(&parser, 1);
     return 0;
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -220,7 +220,7 @@
 bool CurlEasy::AddLine(std::string_view aLine)
 {
   constexpr std::string_view kStatusLine = "HTTP/";
-  if (aLine.substr(0, kStatusLine.size()) == kStatusLine) {
+  if (!headDone_ && aLine.substr(0, kStatusLine.size()) == kStatusLine) {
     // A new status line follows an interim answer, whose fields do not count.
     response_ = HttpResponse();
     const std::optional<unsigned> status = ReadStatus(aLine);
@@ -242,6 +242,10 @@
   if (!IsFieldName(name) || !IsFieldValue(value)) {
     return false;
   }
+  // What follows the head is the trailer, which says nothing about it.
+  if (headDone_) {
+    return true;
+  }
   // As many as an ordinary answer has.
   constexpr std::size_t kUsualFields = 8;
   if (response_.fields.size() == 0) {
--- a/tests/GatewayAnswerTest.cpp
+++ b/tests/GatewayAnswerTest.cpp
@@ -85,6 +85,23 @@
   CHECK(StatusOf(second.Call("POST", "/once/x", "r1", "b")) == 502);
 }
 
+// Guards against taking a field of the trailer, which is sent after the body,
+// for a field of the head.
+TEST_CASE("gateway: a trailer neither signs a response nor says it was not run")
+{
+  for (const char* status : { "200 OK", "503 Busy" }) {
+    CAPTURE(status);
+    GatewayTarget target([status](const std::string& aId, int) {
+      return std::string("HTTP/1.1 ") + status + "\r\nTest-Id: " + aId +
+             "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+             "Test-Signature: s\r\nTest-Not-Run: 1\r\nT: t\r\n\r\n";
+    });
+    TestGateway gateway(target.Address(), kPatientObjective);
+    CHECK(StatusOf(gateway.Call("POST", "/once/x", "r1", "b")) == 502);
+    CHECK(target.Runs() == 1);
+  }
+}
+
 // Guards against reporting a request as not run when no target has said so: a
 // request that ended with a 503 without the not-run field may have run.
 TEST_CASE("gateway: only a refusal marked as not run is passed on as such")
--- a/tests/HttpClientTruncationTest.cpp
+++ b/tests/HttpClientTruncationTest.cpp
@@ -89,3 +89,21 @@
     }
   }
 }
+
+// Guards against a field that stands only in the trailer, and counts as if it
+// stood in the head; libcurl hands both over in the same way.
+TEST_CASE("a trailer does not join the head")
+{
+  ScriptedTarget target([](int, const std::string&) {
+    return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "4\r\nbody\r\n0\r\nT: t\r\nU: u\r\n\r\n");
+  });
+  asio::io_context context;
+  HttpClient client(context, {});
+  HttpCall call;
+  call.endpoint = target.Address();
+  const HttpCallResult result = Run(context, client, call);
+  CHECK(result.end == HttpCallEnd::kAnswered);
+  CHECK(result.response.body == "body");
+  CHECK(result.response.fields.Find("T") == nullptr);
+}
--- a/tests/MessageParserTest.cpp
+++ b/tests/MessageParserTest.cpp
@@ -106,3 +106,23 @@
   CHECK(parser.Feed(first) == first.size());
   CHECK(parser.Whole());
 }
+
+// Guards against a field that stands only in the trailer, and counts as if it
+// stood in the head.
+TEST_CASE("message parser: a trailer does not join the head")
+{
+  for (const MessageSide side :
+       { MessageSide::kRequest, MessageSide::kAnswer }) {
+    MessageParser parser(side, { ByteCount(kMaxHead) });
+    const bool request = side == MessageSide::kRequest;
+    FeedAll(parser,
+            std::string(request ? "POST / HTTP/1.1" : "HTTP/1.1 200 OK") +
+              "\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunks(8, 4) +
+              "T: t\r\nU: u\r\n\r\n",
+            3);
+    REQUIRE(parser.Whole());
+    const HttpMessage message = parser.Take();
+    CHECK(message.head.fields.size() == 1);
+    CHECK(message.body.size() == 8);
+  }
+}
--- a/tests/support/MalformedAnswers.h
+++ b/tests/support/MalformedAnswers.h
@@ -46,6 +46,13 @@
   const std::string chunks = "\r\n5\r\n01234\r\n0\r\n\r\n";
   answers.push_back({ "blank behind Transfer-Encoding",
                       ok + "Transfer-Encoding : chunked\r\n" + chunks });
+  for (const char* line : { "T : t", "T", "T: t\r\nU U: u" }) {
+    answers.push_back({ std::string("trailer ") + line,
+                        ok +
+                          "Transfer-Encoding: chunked\r\n\r\n"
+                          "5\r\n01234\r\n0\r\n" +
+                          line + "\r\n\r\n" });
+  }
   return answers;
 }
 
