End 204 and 304 answers with their head

Callers got the body of a 204 or 304, by length or in chunks, behind a head without a length, where the answer to their next request is due. A 304 that states the length of the body it rightly leaves out was waited for until the deadline (504).

Cause: http_parser reads a body of any status if the fields state one, and HttpConnection handed it on; the answer writer leaves the length out for these statuses, but not the body.

Change: MessageParser ends an answer without a body by its status, as RFC 9112 section 6.3 has it. Further bytes make the connection to the target unusable, so it is closed, as before.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -1,6 +1,7 @@
 #include "http/MessageParser.h"
 
 #include "http/FieldSyntax.h"
+#include "http/MessageBytes.h"
 #include "http/StatusLine.h"
 
 #include <http_parser.h>
@@ -172,6 +173,9 @@
       if (head.status == 101) {
         return Refuse(ParseFailure::kMalformed);
       }
+      // Such an answer ends with its head, whatever its fields say (RFC 9112
+      // section 6.3); http_parser reads a body if they state one.
+      noBody |= StatusHasNoBody(head.status);
     }
     const bool sized = (parser.flags & F_CONTENTLENGTH) != 0;
     if (sized && !noBody && parser.content_length > limits.maxBody.value()) {
--- a/tests/GatewayAnswerTest.cpp
+++ b/tests/GatewayAnswerTest.cpp
@@ -85,6 +85,48 @@
   CHECK(StatusOf(second.Call("POST", "/once/x", "r1", "b")) == 502);
 }
 
+// Guards against a body behind a status that has none: its bytes would stand
+// where the caller expects the next response.
+TEST_CASE("gateway: a body of a 204 or 304 does not reach the caller")
+{
+  for (const char* status : { "204 No Content", "304 Not Modified" }) {
+    for (const char* body : { "Content-Length: 6\r\n\r\nunsent",
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "6\r\nunsent\r\n0\r\n\r\n",
+                              "\r\nunsent\x01" }) {
+      CAPTURE(status);
+      CAPTURE(body);
+      GatewayTarget target([&](const std::string& aId, int aRequest) {
+        return aRequest > 1
+                 ? SignedResponse(aId, "second")
+                 : std::string("HTTP/1.1 ") + status + "\r\nTest-Id: " + aId +
+                     "\r\nTest-Signature: s\r\n" + body;
+      });
+      TestGateway gateway(target.Address(), kPatientObjective);
+      RawCaller caller(gateway.Port());
+      caller.Send(TestGateway::Request("POST", "/once/x", "r1", "b"));
+      std::string received = caller.ReadUntil("\r\n\r\n");
+      CHECK(received.rfind(std::string("HTTP/1.1 ") + status, 0) == 0);
+      caller.Send(TestGateway::Request("POST", "/once/x", "r2", "b"));
+      received += caller.ReadUntil("second");
+      CHECK(received.find("second") != std::string::npos);
+      CHECK(received.find("unsent") == std::string::npos);
+    }
+  }
+}
+
+// Guards against waiting for the body whose length a 304 may state although it
+// has none.
+TEST_CASE("gateway: a 304 that states a length is whole at once")
+{
+  GatewayTarget target([](const std::string& aId, int) {
+    return "HTTP/1.1 304 Not Modified\r\nContent-Length: 6\r\nTest-Id: " + aId +
+           "\r\nTest-Signature: s\r\n\r\n";
+  });
+  TestGateway gateway(target.Address(), kPatientObjective);
+  CHECK(StatusOf(gateway.Call("POST", "/once/x", "r1", "b")) == 304);
+}
+
 // Guards against taking a field of the trailer, which is sent after the body,
 // for a field of the head.
 TEST_CASE("gateway: a trailer neither signs a response nor says it was not run")
--- a/tests/HttpClientTruncationTest.cpp
+++ b/tests/HttpClientTruncationTest.cpp
@@ -107,3 +107,22 @@
   CHECK(result.response.body == "body");
   CHECK(result.response.fields.Find("T") == nullptr);
 }
+
+// Guards against a body behind a status that has none.
+TEST_CASE("a body of a 204 or 304 is no part of the answer")
+{
+  for (const char* status : { "204 No Content", "304 Not Modified" }) {
+    CAPTURE(status);
+    ScriptedTarget target([status](int, const std::string&) {
+      return std::string("HTTP/1.1 ") + status +
+             "\r\nContent-Length: 6\r\n\r\nunsent";
+    });
+    asio::io_context context;
+    HttpClient client(context, {});
+    HttpCall call;
+    call.endpoint = target.Address();
+    const HttpCallResult result = Run(context, client, call);
+    CHECK(result.end == HttpCallEnd::kAnswered);
+    CHECK(result.response.body.empty());
+  }
+}
