--- a/src/gateway/CallerIdentity.cpp
+++ b/src/gateway/CallerIdentity.cpp
@@ -1,5 +1,7 @@
 #include "gateway/CallerIdentity.h"
 
+#include "http/TrimBlanks.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,15 +13,6 @@
 constexpr std::string_view kScheme = "Bearer";
 constexpr std::string_view kBlanks = " \t";
 
-std::string_view Trim(std::string_view aText)
-{
-  const std::size_t first = aText.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
-}
-
 /** The value of the only field with a key; empty with none or several. */
 std::optional<std::string_view> OnlyValue(const HttpFields& aFields)
 {
@@ -38,13 +31,13 @@
 /** The key in "Bearer KEY"; empty for another form. */
 std::string_view KeyIn(std::string_view aValue)
 {
-  const std::string_view value = Trim(aValue);
+  const std::string_view value = TrimBlanks(aValue);
   const std::size_t end = value.find_first_of(kBlanks);
   if (end == std::string_view::npos ||
       !SameFieldName(value.substr(0, end), kScheme)) {
     return {};
   }
-  return Trim(value.substr(end));
+  return TrimBlanks(value.substr(end));
 }
 
 /** The name as a lenient receiver may read it. */
--- a/src/http/HopFields.cpp
+++ b/src/http/HopFields.cpp
@@ -1,5 +1,7 @@
 #include "http/HopFields.h"
 
+#include "http/TrimBlanks.h"
+
 #include <algorithm>
 #include <array>
 #include <string>
@@ -31,22 +33,12 @@
     });
 }
 
-std::string_view Trim(std::string_view aText)
-{
-  constexpr std::string_view kBlanks = " \t";
-  const std::size_t first = aText.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
-}
-
 /** Removes the fields that a Connection value lists, separated by commas. */
 void RemoveListed(std::string_view aList, HttpFields& aFields)
 {
   while (!aList.empty()) {
     const std::size_t comma = std::min(aList.find(','), aList.size());
-    const std::string_view name = Trim(aList.substr(0, comma));
+    const std::string_view name = TrimBlanks(aList.substr(0, comma));
     if (!name.empty()) {
       aFields.Remove(name);
     }
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -2,6 +2,7 @@
 
 #include "http/FieldSyntax.h"
 #include "http/StatusLine.h"
+#include "http/TrimBlanks.h"
 
 #include <utility>
 
@@ -232,13 +233,7 @@
     return false;
   }
   const std::string_view name = aLine.substr(0, colon);
-  std::string_view value = aLine.substr(colon + 1);
-  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
-    value.remove_prefix(1);
-  }
-  while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
-    value.remove_suffix(1);
-  }
+  const std::string_view value = TrimBlanks(aLine.substr(colon + 1));
   if (!IsFieldName(name) || !IsFieldValue(value)) {
     return false;
   }
