Refuse answers with unknown codings or conflicting lengths

Callers got encoded bytes as the body of a 200: an answer with "Transfer-Encoding: gzip" or "chunked, gzip" was read to the end of the connection and "gzip, chunked" as chunks, and the field was dropped on the way.

Cause: http_parser looks only whether "chunked" stands in the field; libcurl undoes some codings, takes an empty one for a length, and with two lengths, or with a length and chunks, goes by one of the two.

Change: HasClearFraming() asks for at most one field that frames the body, and for "chunked" as the only coding. MessageParser and CurlEasy check each answer with it that may have a body; others are malformed.

Evidence: the added cases of "gateway: a malformed answer does not reach the caller" and "http connection: ..." failed for 7 codings each (200 instead of 502), those of "http client: ..." for 3 codings, for a length with chunks and for two lengths. All pass now; http_parser refused the last two before.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -1,5 +1,6 @@
 #include "http/MessageParser.h"
 
+#include "http/BodyFraming.h"
 #include "http/FieldSyntax.h"
 #include "http/MessageBytes.h"
 #include "http/StatusLine.h"
@@ -176,6 +177,9 @@
       // Such an answer ends with its head, whatever its fields say (RFC 9112
       // section 6.3); http_parser reads a body if they state one.
       noBody |= StatusHasNoBody(head.status);
+      if (!noBody && !HasClearFraming(head.fields)) {
+        return Refuse(ParseFailure::kMalformed);
+      }
     }
     const bool sized = (parser.flags & F_CONTENTLENGTH) != 0;
     if (sized && !noBody && parser.content_length > limits.maxBody.value()) {
--- a/src/net/CurlEasy.cpp
+++ b/src/net/CurlEasy.cpp
@@ -1,6 +1,8 @@
 #include "net/CurlEasyPriv.h"
 
+#include "http/BodyFraming.h"
 #include "http/FieldSyntax.h"
+#include "http/MessageBytes.h"
 #include "http/StatusLine.h"
 #include "http/TrimBlanks.h"
 
@@ -139,14 +141,16 @@
                                            : HttpCallEnd::kLost;
 }
 
+bool CurlEasy::HasBody() const
+{
+  return call_.method != "HEAD" &&
+         !StatusHasNoBody(static_cast<unsigned>(response_.status));
+}
+
 // A body that ends with the connection may have been cut short unnoticed.
 bool CurlEasy::BodyIsDelimited() const
 {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return call_.method == "HEAD" || response_.status == kNoContent ||
-         response_.status == kNotModified ||
-         response_.fields.Find("Content-Length") != nullptr ||
+  return !HasBody() || response_.fields.Find("Content-Length") != nullptr ||
          response_.fields.Find("Transfer-Encoding") != nullptr;
 }
 
@@ -209,6 +213,10 @@
       self.foreign_ = true;
       return 0;
     }
+    if (self.HasBody() && !HasClearFraming(self.response_.fields)) {
+      self.malformed_ = true;
+      return 0;
+    }
     self.headDone_ = true;
   }
   if (!line.empty() && !self.AddLine(line)) {
--- a/src/net/CurlEasyPriv.h
+++ b/src/net/CurlEasyPriv.h
@@ -33,6 +33,7 @@
   void SetMethodAndBody();
   void SetFields();
   HttpCallEnd Classify(CURLcode aCode) const;
+  bool HasBody() const;
   bool BodyIsDelimited() const;
   bool IsOurs() const;
   /** Adds a line of the head without its end; false if it is malformed. */
--- a/tests/support/MalformedAnswers.h
+++ b/tests/support/MalformedAnswers.h
@@ -46,6 +46,21 @@
   const std::string chunks = "\r\n5\r\n01234\r\n0\r\n\r\n";
   answers.push_back({ "blank behind Transfer-Encoding",
                       ok + "Transfer-Encoding : chunked\r\n" + chunks });
+  for (const char* coding : { "gzip",
+                              "chunked, gzip",
+                              "gzip, chunked",
+                              "chunked, chunked",
+                              "chunked\r\nTransfer-Encoding: chunked",
+                              "xchunked",
+                              "" }) {
+    answers.push_back(
+      { std::string("coding ") + coding,
+        ok + "Transfer-Encoding: " + coding + "\r\n" + chunks });
+  }
+  answers.push_back(
+    { "length and chunks",
+      ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" + chunks });
+  answers.push_back({ "two lengths", ok + "Content-Length: 4\r\n" + body });
   for (const char* line : { "T : t", "T", "T: t\r\nU U: u" }) {
     answers.push_back({ std::string("trailer ") + line,
                         ok +
