Refuse answers with broken line breaks

Callers got a 200 for a chunked answer whose chunk was not followed by its line break ("01234XX0"), for one whose size line or trailer ended in "\r" and some other byte, and for a status line or a head that ended so.

Cause: http_parser checks the second byte of these line breaks, and both bytes behind a chunk, only in its strict mode, which Debian's library is built without. A chunk whose stated size does not fit its bytes went unnoticed.

Change: LineBreakCheck looks at the bytes of a head or trailer, where a line feed must follow each carriage return, and at the ends of the lines that frame chunks, behind which MessageParser now stops when it reads an answer. Single line feeds in a head stay allowed (RFC 9112 section 2.2).

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -2,6 +2,7 @@
 
 #include "http/BodyFraming.h"
 #include "http/FieldSyntax.h"
+#include "http/LineBreakCheck.h"
 #include "http/MessageBytes.h"
 #include "http/StatusLine.h"
 
@@ -43,6 +44,10 @@
   bool noBody = false;
   /** Whether the next byte belongs to the head or to the trailer. */
   bool inFields = true;
+  /** Whether a line of the chunks' framing has just ended. */
+  bool endsLine = false;
+  /** For answers only. */
+  LineBreakCheck lineBreaks;
   /** Bytes of the head and of the trailer. */
   std::size_t headBytes = 0;
   ParseFailure failure = ParseFailure::kNone;
@@ -68,6 +73,8 @@
     inValue = false;
     started = headDone = whole = noBody = false;
     inFields = true;
+    endsLine = false;
+    lineBreaks = LineBreakCheck();
     headBytes = 0;
     failure = ParseFailure::kNone;
   }
@@ -204,9 +211,19 @@
     return 0;
   }
 
+  /** Stops behind a line of the framing, so that its end can be checked. */
+  void EndLine()
+  {
+    if (side == MessageSide::kAnswer) {
+      endsLine = true;
+      http_parser_pause(&parser, 1);
+    }
+  }
+
   /** The chunk without content is followed by the trailer. */
   int OnChunk()
   {
+    EndLine();
     if (parser.content_length == 0) {
       inFields = true;
       // The empty line that ends the message is no part of the trailer.
@@ -216,6 +233,15 @@
     return 0;
   }
 
+  int OnChunkEnd()
+  {
+    // http_parser reports the end of the trailer as one, too.
+    if (!inFields) {
+      EndLine();
+    }
+    return 0;
+  }
+
   bool Charge(ByteCount aBytes)
   {
     if (message.charge) {
@@ -239,10 +265,12 @@
 
   /**
    * Reads up to the end of the head, of the chunks or of the message, whichever
-   * is first; returns the bytes taken. Stopping there keeps the bytes of fields
+   * is first, in an answer also up to the end of a line of the chunks' framing;
+   * returns the bytes taken. Stopping there keeps the bytes of fields
    * apart from the framing of chunks that arrives in the same read.
    */
   std::size_t ReadPart(std::string_view aBytes);
+  void CheckLineBreaks(std::string_view aTaken, bool aFields);
   std::size_t Execute(const char* aBytes, std::size_t aCount);
 };
 
@@ -277,6 +305,7 @@
   callbacks.on_headers_complete = &Notify<Impl, &Impl::OnHead>;
   callbacks.on_body = &Data<Impl, &Impl::OnBody>;
   callbacks.on_chunk_header = &Notify<Impl, &Impl::OnChunk>;
+  callbacks.on_chunk_complete = &Notify<Impl, &Impl::OnChunkEnd>;
   callbacks.on_message_complete = &Notify<Impl, &Impl::OnWhole>;
   return callbacks;
 }
@@ -296,12 +325,27 @@
   if (counted) {
     headBytes += taken;
   }
+  if (side == MessageSide::kAnswer) {
+    CheckLineBreaks(aBytes.substr(0, taken), counted);
+  }
   if (headBytes > limits.maxHead.value()) {
     failure = ParseFailure::kHeadTooLarge;
   }
   return taken;
 }
 
+void MessageParser::Impl::CheckLineBreaks(std::string_view aTaken, bool aFields)
+{
+  if (aFields) {
+    lineBreaks.ReadFields(aTaken);
+  } else {
+    lineBreaks.ReadBody(aTaken, std::exchange(endsLine, false));
+  }
+  if (lineBreaks.Failed() && failure == ParseFailure::kNone) {
+    failure = ParseFailure::kMalformed;
+  }
+}
+
 std::size_t MessageParser::Impl::Execute(const char* aBytes, std::size_t aCount)
 {
   static const http_parser_settings kCallbacks = MakeCallbacks<Impl>();
--- a/tests/support/MalformedAnswers.h
+++ b/tests/support/MalformedAnswers.h
@@ -61,6 +61,18 @@
     { "length and chunks",
       ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" + chunks });
   answers.push_back({ "two lengths", ok + "Content-Length: 4\r\n" + body });
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const char* framing : { "5\r\n01234XX0\r\n\r\n",
+                               "5\r\n012340\r\n\r\n",
+                               "5\r\n01234\rX0\r\n\r\n",
+                               "5\rX01234\r\n0\r\n\r\n",
+                               "5\r\n01234\r\n0\rX\r\n",
+                               "5\r\n01234\r\n0\r\n\rX",
+                               "5\r\n01234\r\n0\r\nT: t\rX\r\n" }) {
+    answers.push_back({ std::string("chunks ") + framing, chunked + framing });
+  }
+  answers.push_back({ "end of head", ok + "Content-Length: 5\r\n\rX01234" });
+  answers.push_back({ "end of status line", "HTTP/1.1 200 OK\rX" + body });
   for (const char* line : { "T : t", "T", "T: t\r\nU U: u" }) {
     answers.push_back({ std::string("trailer ") + line,
                         ok +
