Refuse folded lines however they are cut into reads

A head with a folded line is refused, since hops may read it differently, but passed as one value ("ab" for "a", line break, blank, "b") when the fold arrived at the beginning of a read, and when the first line of the value was empty.

Cause: MessageParser recognized a fold by two pieces of one value that do not adjoin in the read buffer. The first piece of a read counted as adjoining.

Change: LineBreakCheck, which sees the bytes themselves, reports a line of the head or trailer that begins with a blank. This replaces the comparison of addresses, on both sides, since folded lines are refused in requests too.

--- a/src/http/LineBreakCheck.cpp
+++ b/src/http/LineBreakCheck.cpp
@@ -6,7 +6,8 @@
 {
   inFields_ = true;
   for (const char byte : aBytes) {
-    failed_ |= last_ == '\r' && byte != '\n';
+    broken_ |= last_ == '\r' && byte != '\n';
+    folded_ |= last_ == '\n' && (byte == ' ' || byte == '\t');
     last_ = byte;
   }
 }
@@ -17,11 +18,11 @@
     return;
   }
   // http_parser ends the head in front of its last line feed.
-  failed_ |= inFields_ && last_ == '\r' && aBytes.front() != '\n';
+  broken_ |= inFields_ && last_ == '\r' && aBytes.front() != '\n';
   inFields_ = false;
   if (aEndsLine) {
     const char before = aBytes.size() > 1 ? aBytes[aBytes.size() - 2] : last_;
-    failed_ |= before != '\r' || aBytes.back() != '\n';
+    broken_ |= before != '\r' || aBytes.back() != '\n';
   }
   last_ = aBytes.back();
 }
--- a/src/http/LineBreakCheck.h
+++ b/src/http/LineBreakCheck.h
@@ -6,10 +6,10 @@
 namespace lacewing {
 
 /**
- * Looks for broken line breaks in one answer. Without its strict mode
- * http_parser takes any byte behind a carriage return for a line feed, and any
- * two bytes behind a chunk for its line break. Single line feeds end a line of
- * the head, as RFC 9112 section 2.2 allows.
+ * Looks for broken line breaks and folded lines in one message. Without its
+ * strict mode http_parser takes any byte behind a carriage return for a line
+ * feed, and any two bytes behind a chunk for its line break. Single line feeds
+ * end a line of the head, as RFC 9112 section 2.2 allows.
  */
 class LineBreakCheck
 {
@@ -24,12 +24,16 @@
   void ReadBody(std::string_view aBytes, bool aEndsLine);
 
   /** Whether a line break was broken. */
-  bool Failed() const { return failed_; }
+  bool Broken() const { return broken_; }
+
+  /** Whether a line of the head or trailer begins with a blank. */
+  bool Folded() const { return folded_; }
 
 private:
   char last_ = '\0';
   bool inFields_ = false;
-  bool failed_ = false;
+  bool broken_ = false;
+  bool folded_ = false;
 };
 
 } // namespace lacewing
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -35,8 +35,6 @@
   bool statusRead = false;
   std::string fieldName;
   std::string fieldValue;
-  /** The end of the last piece of a value, to notice folded lines. */
-  const char* valueEnd = nullptr;
   bool inValue = false;
   bool started = false;
   bool headDone = false;
@@ -46,7 +44,6 @@
   bool inFields = true;
   /** Whether a line of the chunks' framing has just ended. */
   bool endsLine = false;
-  /** For answers only. */
   LineBreakCheck lineBreaks;
   /** Bytes of the head and of the trailer. */
   std::size_t headBytes = 0;
@@ -69,7 +66,6 @@
     statusRead = side == MessageSide::kRequest;
     fieldName.clear();
     fieldValue.clear();
-    valueEnd = nullptr;
     inValue = false;
     started = headDone = whole = noBody = false;
     inFields = true;
@@ -101,7 +97,6 @@
     fieldName.clear();
     fieldValue.clear();
     inValue = false;
-    valueEnd = nullptr;
     return true;
   }
 
@@ -150,11 +145,7 @@
 
   int OnFieldValue(const char* aBytes, std::size_t aCount)
   {
-    if (inValue && aCount > 0 && valueEnd != nullptr && aBytes != valueEnd) {
-      return Refuse(ParseFailure::kMalformed);
-    }
     inValue = true;
-    valueEnd = aBytes + aCount;
     fieldValue.append(aBytes, aCount);
     return 0;
   }
@@ -325,9 +316,7 @@
   if (counted) {
     headBytes += taken;
   }
-  if (side == MessageSide::kAnswer) {
-    CheckLineBreaks(aBytes.substr(0, taken), counted);
-  }
+  CheckLineBreaks(aBytes.substr(0, taken), counted);
   if (headBytes > limits.maxHead.value()) {
     failure = ParseFailure::kHeadTooLarge;
   }
@@ -341,7 +330,9 @@
   } else {
     lineBreaks.ReadBody(aTaken, std::exchange(endsLine, false));
   }
-  if (lineBreaks.Failed() && failure == ParseFailure::kNone) {
+  const bool malformed = lineBreaks.Folded() ||
+                         (side == MessageSide::kAnswer && lineBreaks.Broken());
+  if (malformed && failure == ParseFailure::kNone) {
     failure = ParseFailure::kMalformed;
   }
 }
@@ -352,8 +343,6 @@
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
     http_parser_pause(&parser, 0);
   }
-  // A value that goes on in the next buffer starts at its first byte.
-  valueEnd = inValue ? aBytes : nullptr;
   const std::size_t taken =
     http_parser_execute(&parser, &kCallbacks, aBytes, aCount);
   const auto error = HTTP_PARSER_ERRNO(&parser);
--- a/tests/MessageParserTest.cpp
+++ b/tests/MessageParserTest.cpp
@@ -1,4 +1,6 @@
 #include "http/MessageParser.h"
+#include "support/MalformedAnswers.h"
+#include "support/ProperAnswers.h"
 
 #include <doctest/doctest.h>
 
@@ -54,6 +56,23 @@
   return whole.Failure();
 }
 
+/** Whether aBytes are a whole answer, read in pieces of at most aRead bytes. */
+bool IsAnswer(const std::string& aBytes, std::size_t aRead)
+{
+  MessageParser parser(MessageSide::kAnswer, { ByteCount(kMaxHead) });
+  std::size_t at = 0;
+  while (at < aBytes.size() && parser.Failure() == ParseFailure::kNone) {
+    at += parser.Feed(std::string_view(aBytes).substr(at, aRead));
+    if (parser.Whole() && parser.Head().status / 100 == 1) {
+      parser.Reset();
+    } else if (parser.Whole()) {
+      break;
+    }
+  }
+  parser.FeedEnd();
+  return parser.Whole();
+}
+
 } // namespace
 
 // Guards against a body in small chunks that is refused because the chunks'
@@ -126,3 +145,34 @@
     CHECK(message.body.size() == 8);
   }
 }
+
+// Guards against a verdict on an answer that depends on how it is cut into
+// reads, such as a line break or a status that arrives in two.
+TEST_CASE("message parser: an answer is read alike however it is cut")
+{
+  for (const std::size_t read : { 1, 2, 3, 7, 16384 }) {
+    CAPTURE(read);
+    for (const NamedAnswer& answer : ProperAnswers()) {
+      CAPTURE(answer.name);
+      CHECK(IsAnswer(answer.bytes, read));
+    }
+    for (const NamedAnswer& answer : MalformedAnswers()) {
+      CAPTURE(answer.name);
+      CHECK_FALSE(IsAnswer(answer.bytes, read));
+    }
+  }
+}
+
+// Guards against a folded line that passes as one value when the fold arrives
+// at the beginning of a read.
+TEST_CASE("message parser: a folded line is refused however it is cut")
+{
+  const std::string head = "POST / HTTP/1.1\r\nHost: test\r\n";
+  const std::string end = "Content-Length: 1\r\n\r\nb";
+  for (const char* line :
+       { "X: a\r\n b\r\n", "X: a\n\tb\r\n", "X:\r\n b\r\n" }) {
+    CAPTURE(line);
+    CHECK(FailureOf(head + line + end) == ParseFailure::kMalformed);
+  }
+  CHECK(FailureOf(head + "X: a b\r\n" + end) == ParseFailure::kNone);
+}
