--- a/tests/GatewayUploadTest.cpp
+++ b/tests/GatewayUploadTest.cpp
@@ -15,8 +15,9 @@
   return limits;
 }
 
-/** What a caller gets for an upload that aBytes answer before it is read. */
-std::string AnswerToUpload(const std::string& aBytes)
+/** What a caller gets for aUpload, which aBytes answer before it is read. */
+std::string AnswerToUpload(const std::string& aBytes,
+                           const std::string& aUpload = kLongBody)
 {
   GatewayTarget target(
     [&](const std::string& aId, int) {
@@ -27,7 +28,7 @@
     ScriptedTarget::ReadsFirst::kHead);
   TestGateway gateway(target.Address(), kPatientObjective);
   gateway.SetCallerLimits(LimitsForUploads());
-  std::string answer = gateway.Call("POST", "/upload/x", "r1", kLongBody);
+  std::string answer = gateway.Call("POST", "/upload/x", "r1", aUpload);
   CHECK(target.Runs() == 1);
   return answer;
 }
@@ -55,6 +56,19 @@
   }
 }
 
+// Guards against the same fault where the reset may come before, while or after
+// the last bytes of the upload are written.
+TEST_CASE("gateway: a reset right behind a short upload ends no answer")
+{
+  const std::string upload(100000, 'u');
+  for (int i = 0; i < 40; ++i) {
+    CHECK(
+      StatusOf(AnswerToUpload(std::string("HTTP/1.1 200 OK\r\n\r\n0123456789") +
+                                ScriptedTarget::kResetMarker,
+                              upload)) == 502);
+  }
+}
+
 // Guards against refusing such an answer when the target closes its sending
 // side in order and reads on.
 TEST_CASE("gateway: an answer without a length to an upload ends in order")
--- a/tests/HttpClientTruncationTest.cpp
+++ b/tests/HttpClientTruncationTest.cpp
@@ -126,3 +126,24 @@
     CHECK(result.response.body.empty());
   }
 }
+
+// Guards against a part of an answer that is taken as the whole when the target
+// resets the connection during an upload. The answer must state its length.
+TEST_CASE("an answer to an upload that a reset cut is lost")
+{
+  ScriptedTarget target(
+    [](int, const std::string&) {
+      return std::string("HTTP/1.1 200 OK\r\n\r\n0123456789") +
+             ScriptedTarget::kResetMarker;
+    },
+    ScriptedTarget::ReadsFirst::kHead);
+  asio::io_context context;
+  HttpClient client(context, {});
+  HttpCall call;
+  call.endpoint = target.Address();
+  call.method = "POST";
+  call.body = std::make_shared<const std::string>(8U << 20U, 'u');
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Run(context, client, call).end == HttpCallEnd::kLost);
+  }
+}
--- a/tests/process/HostdTest.cpp
+++ b/tests/process/HostdTest.cpp
@@ -44,7 +44,12 @@
     at == std::string::npos
       ? std::string()
       : aHead.substr(at, aHead.find("\r\n", at) - at) + "\r\n";
-  return OkResponse("served", id + "Lacewinghoist-Server-Signature: s\r\n");
+  const std::string fields = id + "Lacewinghoist-Server-Signature: s\r\n";
+  if (aHead.find(" /a/reset ") != std::string::npos) {
+    return "HTTP/1.1 200 OK\r\n" + fields + "\r\n0123456789" +
+           ScriptedTarget::kResetMarker;
+  }
+  return OkResponse("served", fields);
 }
 
 nlohmann::json Route(const std::string& aPrefix, double aTimeoutSeconds = 3.0)
@@ -84,9 +89,12 @@
 
 struct HostdFixture
 {
-  explicit HostdFixture(std::chrono::milliseconds aWork)
+  explicit HostdFixture(std::chrono::milliseconds aWork,
+                        ScriptedTarget::ReadsFirst aReadsFirst =
+                          ScriptedTarget::ReadsFirst::kWholeRequest)
     : server(
-        [aWork](int, const std::string& aHead) { return Serve(aHead, aWork); })
+        [aWork](int, const std::string& aHead) { return Serve(aHead, aWork); },
+        aReadsFirst)
     , settings(Settings().dump())
   {
     store.Do([this](StoreStandin& aStore) {
@@ -154,14 +162,14 @@
   }
 
   int Post(const std::string& aTarget,
-           std::chrono::milliseconds aPatience = 5000ms)
+           std::chrono::milliseconds aPatience = 5000ms,
+           const std::string& aBody = "body")
   {
     HttpFields fields;
     fields.Add("Host", kVirtualHost);
     fields.Add("Lacewinghoist-Request-Id", "r" + std::to_string(++requests));
     fields.Add("Lacewinghoist-Deadline-Ms", std::to_string(aPatience.count()));
-    const HttpCallResult result =
-      Send("POST", Front(), aTarget, "body", fields);
+    const HttpCallResult result = Send("POST", Front(), aTarget, aBody, fields);
     return result.end == HttpCallEnd::kAnswered
              ? static_cast<int>(result.response.status)
              : 0;
@@ -217,6 +225,19 @@
   CHECK(hostd.Output().find("event=stopped") != std::string::npos);
 }
 
+// Guards against a part of an answer that reaches the caller as a whole one:
+// the server answers a long upload without a length and resets the connection.
+TEST_CASE("hostd: a reset during an upload is no end of an answer")
+{
+  HostdFixture fix(0ms, ScriptedTarget::ReadsFirst::kHead);
+  Process hostd("lacewing-hostd", { "--settings=" + fix.settings.Path() });
+  REQUIRE(HostdFixture::Within(8s, [&] { return fix.Ready() == 200; }));
+  const std::string upload(8U << 20U, 'u');
+  for (int i = 0; i < 5; ++i) {
+    CHECK(fix.Post("/a/reset", 5000ms, upload) == 502);
+  }
+}
+
 // Guards against traffic that ends with the store, and against a reload of the
 // settings that disturbs it.
 TEST_CASE("hostd: traffic goes on through a store outage and a reload")
