Give the check of an answer's status line a type of its own

Cause: MessageParser had grown by the state of this check, and its header did not say what an answer is refused for.

No behaviour changes.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -4,7 +4,7 @@
 #include "http/FieldSyntax.h"
 #include "http/LineBreakCheck.h"
 #include "http/MessageBytes.h"
-#include "http/StatusLine.h"
+#include "http/StatusLineCheck.h"
 
 #include <http_parser.h>
 
@@ -30,9 +30,8 @@
   ParserLimits limits;
   http_parser parser{};
   HttpMessage message;
-  /** The first bytes of an answer's status line. */
-  std::string statusPrefix;
-  bool statusRead = false;
+  /** For answers only. */
+  StatusLineCheck statusLine;
   std::string fieldName;
   std::string fieldValue;
   bool inValue = false;
@@ -62,8 +61,7 @@
       &parser, side == MessageSide::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
     message = HttpMessage();
-    statusPrefix.clear();
-    statusRead = side == MessageSide::kRequest;
+    statusLine = StatusLineCheck();
     fieldName.clear();
     fieldValue.clear();
     inValue = false;
@@ -103,31 +101,6 @@
   /** Ends the last field of the head or of the trailer, if there is one. */
   bool EndLastField() { return (!inValue && fieldName.empty()) || EndField(); }
 
-  /**
-   * Checks the status line, of which http_parser takes any number of digits and
-   * any version. Fails as soon as the status is known not to be one.
-   */
-  void CheckStatusLine(std::string_view aBytes)
-  {
-    for (const char byte : aBytes) {
-      const bool lineEnd = byte == '\r' || byte == '\n';
-      if (lineEnd && statusPrefix.empty()) {
-        // http_parser skips empty lines in front of a message.
-        continue;
-      }
-      if (!lineEnd) {
-        statusPrefix += byte;
-      }
-      if (lineEnd || statusPrefix.size() == kStatusPrefixSize) {
-        statusRead = true;
-        if (!ReadStatus(statusPrefix)) {
-          failure = ParseFailure::kMalformed;
-        }
-        return;
-      }
-    }
-  }
-
   int OnTarget(const char* aBytes, std::size_t aCount)
   {
     message.head.target.append(aBytes, aCount);
@@ -305,9 +278,10 @@
 
 std::size_t MessageParser::Impl::ReadPart(std::string_view aBytes)
 {
-  if (!statusRead) {
-    CheckStatusLine(aBytes);
-    if (failure != ParseFailure::kNone) {
+  if (side == MessageSide::kAnswer && !statusLine.Done()) {
+    statusLine.Read(aBytes);
+    if (statusLine.Failed()) {
+      failure = ParseFailure::kMalformed;
       return 0;
     }
   }
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -16,7 +16,9 @@
  * Reads one HTTP/1.1 message at a time and stops at its end, so that bytes
  * behind it are never taken for a part of it. Folded header lines, and both a
  * length and chunks in one message, are refused, since hops may read them
- * differently.
+ * differently. In an answer, a status line, field, line break or transfer
+ * coding that RFC 9112 does not allow or that is unknown is refused, too.
+ * Trailer fields are dropped.
  */
 class MessageParser
 {
