Leave bytes of an upload unread for certain in ScriptedTarget

Cause: a target that answers once it has read the head read up to 64 KiB. If that was all that had arrived, its close would end the connection in order, and a test of resets could fail on a busy machine. No run has shown this.

Change: such a target reads 512 bytes at a time; a segment with more of the upload follows the head at once.

--- a/tests/support/ScriptedTarget.h
+++ b/tests/support/ScriptedTarget.h
@@ -106,8 +106,13 @@
 
   void Read(const std::shared_ptr<Session>& aSession)
   {
+    // The first bytes of the body arrive with the head; a short read leaves
+    // some of them, so that a close is sure to reset the connection.
+    constexpr std::size_t kShortRead = 512;
+    const std::size_t most =
+      readsFirst_ == ReadsFirst::kHead ? kShortRead : aSession->buffer.size();
     aSession->socket.async_read_some(
-      asio::buffer(aSession->buffer),
+      asio::buffer(aSession->buffer, most),
       [this, aSession](const asio::error_code& aError, std::size_t aLength) {
         if (aError) {
           return;
