Test a bell character in the name of a field

Cause: "\x07Foo" in the table of malformed answers is the byte 0x7f and "oo", since the escape takes every hexadecimal digit that follows.

Change: the name is "X\x07-Foo", with the byte 0x07; 0x7f has a case of its own.

--- a/tests/support/MalformedAnswers.h
+++ b/tests/support/MalformedAnswers.h
@@ -27,7 +27,7 @@
          std::string("X Foo: a"),
          std::string("X-Foo : a"),
          std::string("X-Foo\t: a"),
-         std::string("X\x07Foo: a"),
+         std::string("X\x07-Foo: a"),
          std::string("X\0Foo: a", 8),
          std::string("X\x7f: a"),
          std::string("X\"Foo\": a"),
