--- a/review/stand3/Stand.cpp
+++ b/review/stand3/Stand.cpp
@@ -415,7 +415,9 @@
     }
   }
   const std::size_t specBegin = spec + specKey.size();
-  Put(aKind, text, aBody.substr(specBegin, aBody.find('}') - specBegin + 1));
+  Put(aKind,
+      text,
+      aBody.substr(specBegin, aBody.find('}', specBegin) - specBegin + 1));
   return JsonAnswer(201, aBody);
 }
 
