--- a/review/stand3/Stand.cpp
+++ b/review/stand3/Stand.cpp
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <sstream>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -430,6 +431,8 @@
   if (process_ != 0) {
     return;
   }
+  // So that no process is left if this program is ended.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int log =
     open((file + ".log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
   dup2(log, STDOUT_FILENO);
